--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+BIN := .bin
+
+.PHONY: build test lint fmt tools docs demo
+
+build:
+	go build -o .build/ ./cmd/...
+
+tools: $(BIN)/golangci-lint $(BIN)/gofumpt
+
+$(BIN)/golangci-lint $(BIN)/gofumpt: tools/go.mod tools/go.sum
+	cd tools && GOBIN=$(CURDIR)/$(BIN) go install tool
+
+fmt: tools
+	$(BIN)/gofumpt -w cmd internal
+
+lint: tools
+	@test -z "$$($(BIN)/gofumpt -l cmd internal)" || { $(BIN)/gofumpt -d cmd internal; exit 1; }
+	$(BIN)/golangci-lint run ./...
+	go vet ./...
+
+test:
+	go test -race ./...
--- /dev/null
+++ b/internal/core/message/action_caller.go
@@ -0,0 +1,123 @@
+package message
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Dispatch sends a request to a database.
+type Dispatch struct {
+	Request  model.RequestID
+	Attempt  model.Attempt
+	Database model.DatabaseID
+	// Access tells which proof the answer needs. With AccessWrite, or when
+	// Primary is set, the answer is gated (AnswerHeld, AnswerCommitted).
+	Access model.Access
+	// Primary says that Database is expected to be the primary of Term.
+	Primary bool
+	// Term is sent along; a database in another term refuses the work.
+	Term model.Term
+	// Key is the idempotency key, sent along with writes.
+	Key string
+	// Minimum is the oldest position whose state the caller may see. The
+	// edge compares the answer's own position before the first row.
+	Minimum model.Position
+	// Expires is when the caller's deadline ends.
+	Expires time.Time
+	// Suspect is the time after which a silent connection is checked by
+	// asking the same database on a new one.
+	Suspect time.Duration
+}
+
+// Release lets a held answer go to the caller: its position is proven.
+type Release struct {
+	Request model.RequestID
+	Attempt model.Attempt
+}
+
+// Acknowledge lets the answer of a commit go to the caller, with the session's
+// new token.
+type Acknowledge struct {
+	Request model.RequestID
+	Attempt model.Attempt
+	Token   model.Token
+}
+
+// Refuse ends a request that did not run: the caller gets the error "not run"
+// (a SQLSTATE by Why).
+type Refuse struct {
+	Request model.RequestID
+	Why     RefuseWhy
+	// Again hints when to come again; zero where there is no telling.
+	Again time.Duration
+	// Detail goes into the error's detail field.
+	Detail string
+}
+
+// RefuseWhy tells why a request was not run.
+type RefuseWhy int
+
+// The values of RefuseWhy.
+const (
+	// RefuseOverload: the queue is full, or the request can't be in time.
+	RefuseOverload RefuseWhy = iota
+	// RefuseNoPrimary: no primary is proven inside the deadline.
+	RefuseNoPrimary
+	// RefuseStale: no database is fresh enough inside the deadline.
+	RefuseStale
+	// RefuseUnknownGroup: the manifest has no such group.
+	RefuseUnknownGroup
+	// RefuseUnknownKind: the manifest has no such kind of work.
+	RefuseUnknownKind
+	// RefuseDraining: the instance is shutting down.
+	RefuseDraining
+	// RefuseSettled: a lost commit is proven not to have happened, and the
+	// work may not be repeated.
+	RefuseSettled
+	// RefuseDeadline: the deadline ended before the work was sent.
+	RefuseDeadline
+	// RefuseCanceled: the caller withdrew it before it was sent.
+	RefuseCanceled
+	// RefuseDuplicate: the caller's own key was committed or settled before.
+	RefuseDuplicate
+)
+
+// String names w for log lines.
+func (w RefuseWhy) String() string {
+	return [...]string{
+		"overload", "no-primary", "stale", "unknown-group", "unknown-kind",
+		"draining", "settled", "deadline", "canceled", "duplicate",
+	}[w]
+}
+
+// Abandon ends a request whose attempt is running or was lost.
+type Abandon struct {
+	Request model.RequestID
+	Attempt model.Attempt
+	// Unknown says that it can't be known whether the work was committed
+	// (SQLSTATE 08007). Without it nothing was committed (SQLSTATE 40001 or
+	// 57014), but a part of the answer may have gone to the caller.
+	Unknown bool
+	// Why is a short reason for the error's detail field.
+	Why string
+}
+
+// Interrupt asks the edge to cancel the running statement of an attempt at its
+// database; the attempt still ends by an AnswerEnded.
+type Interrupt struct {
+	Request model.RequestID
+	Attempt model.Attempt
+}
+
+// Drain tells the caller edge to accept no further connection and to close
+// each one when it is idle.
+type Drain struct{}
+
+func (Dispatch) isAction()    {}
+func (Release) isAction()     {}
+func (Acknowledge) isAction() {}
+func (Refuse) isAction()      {}
+func (Abandon) isAction()     {}
+func (Interrupt) isAction()   {}
+func (Drain) isAction()       {}
--- /dev/null
+++ b/internal/report/event/event_caller.go
@@ -0,0 +1,6 @@
+package event
+
+// -----------------------------------------------------------------------------
+// The events of this area.
+
+var callerEvents = []Event{}
