--- a/internal/core/message/action_caller.go
+++ b/internal/core/message/action_caller.go
@@ -11,11 +11,14 @@
 	Request  model.RequestID
 	Attempt  model.Attempt
 	Database model.DatabaseID
-	// Access tells which proof the answer needs. With AccessWrite, or when
-	// Primary is set, the answer is gated (AnswerHeld, AnswerCommitted).
+	// Access tells what the work may do: with AccessRead the database is told
+	// to refuse writes.
 	Access model.Access
-	// Primary says that Database is expected to be the primary of Term.
-	Primary bool
+	// Gated says that no row may go to the caller before the position of the
+	// answer is proven: it is at or below the last Proven of the group in the
+	// same term, or the edge sends AnswerHeld and waits for Release. Answers of
+	// a primary are gated always.
+	Gated bool
 	// Term is sent along; a database in another term refuses the work.
 	Term model.Term
 	// Key is the idempotency key, sent along with writes.
@@ -36,6 +39,14 @@
 	Attempt model.Attempt
 }
 
+// Proven tells the caller edge up to which position a group's log is proven to
+// survive a promotion. It replaces what was told before, and holds for
+// positions of the same term only.
+type Proven struct {
+	Group    model.GroupID
+	Position model.Position
+}
+
 // Acknowledge lets the answer of a commit go to the caller, with the session's
 // new token.
 type Acknowledge struct {
@@ -116,6 +127,7 @@
 
 func (Dispatch) isAction()    {}
 func (Release) isAction()     {}
+func (Proven) isAction()      {}
 func (Acknowledge) isAction() {}
 func (Refuse) isAction()      {}
 func (Abandon) isAction()     {}
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -38,3 +38,7 @@
 // Action is anything that the core wants done. The files action_*.go hold the
 // variants, one family a file.
 type Action interface{ isAction() }
+
+// Sink takes events for the core. Post never blocks for long and may be called
+// from any goroutine.
+type Sink interface{ Post(event Event) }
