--- a/internal/core/message/action_caller.go
+++ b/internal/core/message/action_caller.go
@@ -121,6 +121,14 @@
 	Attempt model.Attempt
 }
 
+// Drop asks the edge to close the connection of an attempt at once, since its
+// database has been replaced; the attempt still ends by an AnswerEnded with
+// AnswerLost. It may cross an AnswerEnded on its way and is then of no effect.
+type Drop struct {
+	Request model.RequestID
+	Attempt model.Attempt
+}
+
 // Drain tells the caller edge to accept no further connection and to close
 // each one when it is idle.
 type Drain struct{}
@@ -132,4 +140,5 @@
 func (Refuse) isAction()      {}
 func (Abandon) isAction()     {}
 func (Interrupt) isAction()   {}
+func (Drop) isAction()        {}
 func (Drain) isAction()       {}
--- a/internal/report/event/event.go
+++ b/internal/report/event/event.go
@@ -82,4 +82,6 @@
 	manifestEvents,
 	platformEvents,
 	processEvents,
+	memberEvents,
+	spreadEvents,
 }
--- a/internal/report/event/event_route.go
+++ b/internal/report/event/event_route.go
@@ -1,6 +1,53 @@
 package event
 
 // -----------------------------------------------------------------------------
-// The events of this area.
+// 200: routing of reads and placement of writes.
 
-var routeEvents = []Event{}
+// Events of routing.
+var (
+	ReadRouted = Event{
+		Number: 200, Name: "read-routed", Level: LevelInfo,
+		Text:   "A read was sent to a database.",
+		Fields: []string{"request", "attempt", "group", "kind", "database", "role", "minimum", "reason"},
+	}
+	WriteRouted = Event{
+		Number: 201, Name: "write-routed", Level: LevelInfo,
+		Text:   "A write or a transaction was sent to the primary.",
+		Fields: []string{"request", "attempt", "group", "kind", "database", "term", "key"},
+	}
+	ReadBehind = Event{
+		Number: 202, Name: "read-behind", Level: LevelInfo,
+		Text:   "A replica's answer was older than the session may see; the read runs again elsewhere.",
+		Fields: []string{"request", "attempt", "group", "database", "position", "minimum"},
+	}
+	RequestRefused = Event{
+		Number: 203, Name: "request-refused", Level: LevelInfo,
+		Text:   "A request was refused; it did not run.",
+		Fields: []string{"request", "group", "kind", "why"},
+	}
+	RequestRetried = Event{
+		Number: 204, Name: "request-retried", Level: LevelInfo,
+		Text:   "An attempt did not run, with proof; the request waits for another.",
+		Fields: []string{"request", "attempt", "group", "database", "why"},
+	}
+	DatabaseUnreachable = Event{
+		Number: 205, Name: "database-unreachable", Level: LevelWarn,
+		Text:   "A database has not answered this instance for a while.",
+		Fields: []string{"group", "database", "error", "silent"},
+	}
+	DatabaseReachable = Event{
+		Number: 206, Name: "database-reachable", Level: LevelInfo,
+		Text:   "A database answers this instance.",
+		Fields: []string{"group", "database", "role", "term", "received"},
+	}
+	DatabaseLeft = Event{
+		Number: 207, Name: "database-leaving", Level: LevelInfo,
+		Text:   "A database is leaving; it receives no new work.",
+		Fields: []string{"group", "database", "source"},
+	}
+)
+
+var routeEvents = []Event{
+	ReadRouted, WriteRouted, ReadBehind, RequestRefused, RequestRetried,
+	DatabaseUnreachable, DatabaseReachable, DatabaseLeft,
+}
