--- /dev/null
+++ b/internal/core/engine/report.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
+)
+
+// -----------------------------------------------------------------------------
+// Reports for operators.
+
+// report returns the report on a topic.
+func (e *Engine) report(wanted message.StateWanted) any {
+	switch wanted.Topic {
+	case message.TopicLogbook:
+		return e.reportLogbook(wanted.Group)
+	case message.TopicManifest:
+		s := &e.declared
+		return status.Manifest{Number: s.number, Digest: s.digest, Body: string(s.body)}
+	case message.TopicStatus:
+	}
+	return e.reportStatus(wanted.Group)
+}
+
+// reportStatus returns the state of the instance.
+func (e *Engine) reportStatus(only string) status.Status {
+	report := status.Status{
+		Instance: string(e.options.Instance), Zone: string(e.options.Zone),
+		Manifest: e.declared.number, Digest: e.declared.digest, Draining: e.drain.started,
+		Sessions: len(e.sessions), Requests: len(e.requests.byID), Ranks: e.scheduler.Report(),
+	}
+	for _, g := range e.groups {
+		if only == "" || only == string(g.name) {
+			report.Groups = append(report.Groups, e.reportGroup(g))
+		}
+	}
+	for _, entry := range e.instances.sorted() {
+		report.Peers = append(report.Peers, status.Peer{
+			Instance: string(entry.id), Zone: string(entry.zone), Address: entry.peer, Alive: entry.alive,
+			Leaving: entry.leaving, Manifest: entry.manifest, Silent: since(e.now, entry.heard),
+		})
+	}
+	return report
+}
+
+// since returns the time that has passed since then, or zero where then is none.
+func since(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return 0
+	}
+	return now.Sub(then)
+}
+
+// reportGroup returns the state of one group.
+func (e *Engine) reportGroup(g *group) status.Group {
+	report := status.Group{
+		Name: string(g.name), Term: uint64(g.term), Primary: string(g.primaryName()), Proven: g.proven.String(),
+		Proving: len(g.proving), Change: g.steward.step.String(),
+	}
+	if at, found := g.provenAt(); found {
+		report.Proof = e.now.Sub(at)
+	}
+	if !g.steward.suspected.IsZero() {
+		report.Evidence = g.steward.evidence
+	}
+	for _, r := range e.requests.settling {
+		if r.group == g {
+			report.Settling++
+		}
+	}
+	for _, d := range g.databases {
+		report.Databases = append(report.Databases, status.Database{
+			Name: string(d.name), Zone: string(d.declared.Zone), Address: d.declared.Address,
+			Role: d.status.Role.String(), Term: uint64(d.status.Term),
+			Received: d.status.Received.String(), Applied: d.applied.String(),
+			Streaming: d.status.Streaming, Leaving: d.isLeaving(), Reachable: d.isReachable(e.now),
+			Silent: since(e.now, d.heard), Lag: d.lag, Latency: d.latency, Running: d.running,
+		})
+	}
+	return report
+}
+
+// reportLogbook returns the changes of primary that are known here, and asks
+// the platform for those that are not.
+func (e *Engine) reportLogbook(only string) status.Logbook {
+	report := status.Logbook{Records: []any{}}
+	for _, g := range e.groups {
+		if only != "" && only != string(g.name) {
+			continue
+		}
+		e.readLogbook(g)
+		report.Asked = g.logbookAt
+		for _, record := range g.logbook {
+			report.Records = append(report.Records, record)
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/internal/core/engine/system_answer.go
@@ -0,0 +1,302 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/rank"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+)
+
+const (
+	// fullPause is the pause before another try at a database that accepts no
+	// further connection.
+	fullPause = 10 * time.Millisecond
+	// unreachablePause is the time for which a database that could not be
+	// reached gets no work.
+	unreachablePause = 300 * time.Millisecond
+	// termPause is the pause before another try after a database was found in
+	// another term, in which its status is asked for.
+	termPause = 5 * time.Millisecond
+)
+
+// -----------------------------------------------------------------------------
+// Ends of attempts.
+
+// takeAnswer learns how an attempt ended.
+func (e *Engine) takeAnswer(ended message.AnswerEnded) {
+	r, found := e.requests.byID[ended.Request]
+	if !found || r.attempt != ended.Attempt || r.phase != phaseRunning {
+		return
+	}
+	delete(r.group.held, r.id)
+	switch answer := ended.Answer.(type) {
+	case message.AnswerCommitted:
+		e.takeCommitted(r, answer, ended)
+	case message.AnswerRead:
+		e.takeRead(r, answer, ended)
+	case message.AnswerBehind:
+		e.takeBehind(r, answer, ended)
+	case message.AnswerFailed:
+		e.measure(r, ended)
+		e.free(r, endingOf(ended, false))
+		e.forget(r)
+	case message.AnswerRefused:
+		e.takeRefused(r, answer, ended)
+	case message.AnswerLost:
+		e.takeLost(r, answer, ended)
+	}
+}
+
+// endingOf tells the scheduler how the use of a slot ended.
+func endingOf(ended message.AnswerEnded, failed bool) rank.Ending {
+	return rank.Ending{Elapsed: ended.Elapsed - ended.Opened, Failed: failed}
+}
+
+// measure updates the estimate of how fast the database answers.
+func (e *Engine) measure(r *request, ended message.AnswerEnded) {
+	r.database.latency = smooth(r.database.latency, ended.Elapsed-ended.Opened)
+}
+
+// takeCommitted waits for the proof of a commit. One of a replaced primary is
+// settled instead: the group alone knows whether it survived.
+func (e *Engine) takeCommitted(r *request, answer message.AnswerCommitted, ended message.AnswerEnded) {
+	e.measure(r, ended)
+	e.free(r, endingOf(ended, false))
+	r.position = answer.Position
+	r.answered = true
+	if r.term != r.group.term || answer.Position.Term != r.term {
+		e.settle(r)
+		return
+	}
+	e.learnPrimary(r, answer.Position)
+	r.phase = phaseProving
+	r.group.proving[r.id] = r
+}
+
+// takeRead ends a request whose rows have gone to the caller.
+func (e *Engine) takeRead(r *request, answer message.AnswerRead, ended message.AnswerEnded) {
+	e.measure(r, ended)
+	e.free(r, endingOf(ended, false))
+	r.database.applied = r.database.applied.Max(answer.Position)
+	if r.database != r.group.primary {
+		r.database.lag = min(r.database.lag, e.now.Sub(r.minimumAt))
+	}
+	r.session.raise(answer.Position, e.now)
+	e.forget(r)
+}
+
+// takeBehind runs a read again after a replica was found to lag too far.
+func (e *Engine) takeBehind(r *request, answer message.AnswerBehind, ended message.AnswerEnded) {
+	e.note(event.ReadBehind,
+		event.F("request", r.id), event.F("attempt", r.attempt), event.F("group", r.group.name),
+		event.F("database", r.database.name), event.F("position", answer.Position.String()),
+		event.F("minimum", r.minimum.String()))
+	r.behind++
+	r.database.applied = r.database.applied.Max(answer.Position)
+	r.database.lag = max(r.database.lag+r.database.lag/4, e.now.Sub(r.minimumAt)) + time.Millisecond
+	e.again(r, endingOf(ended, false), 0)
+}
+
+// takeRefused runs a request again that was not started.
+func (e *Engine) takeRefused(r *request, answer message.AnswerRefused, ended message.AnswerEnded) {
+	if answer.Why == message.RefusedDuplicate {
+		e.takeDuplicate(r, ended)
+		return
+	}
+	e.note(event.RequestRetried,
+		event.F("request", r.id), event.F("attempt", r.attempt), event.F("group", r.group.name),
+		event.F("database", r.database.name), event.F("why", answer.Why.String()))
+	failed := false
+	pause := time.Duration(0)
+	switch answer.Why {
+	case message.RefusedUnreachable:
+		failed = true
+		r.database.unusable = e.now.Add(unreachablePause)
+		e.probeGroup(r.group)
+	case message.RefusedTerm, message.RefusedReadOnly:
+		pause = termPause
+		e.probeGroup(r.group)
+	case message.RefusedFull:
+		pause = e.jitter(fullPause)
+	case message.RefusedLeaving:
+		r.database.unusable = e.now.Add(unreachablePause)
+		e.probeGroup(r.group)
+	case message.RefusedStale, message.RefusedDuplicate:
+	}
+	e.retry(r, endingOf(ended, failed), pause)
+}
+
+// retry queues another attempt, or ends the request where there have been too
+// many.
+func (e *Engine) retry(r *request, ending rank.Ending, pause time.Duration) {
+	if r.attempt >= maxAttempts || !e.now.Before(r.deadline) {
+		e.free(r, ending)
+		e.refuseRequest(r, rank.Refusal{Why: r.why, Detail: "no attempt could be started inside the deadline"})
+		return
+	}
+	e.again(r, ending, pause)
+}
+
+// takeDuplicate ends a request whose key the group already knows. A key that
+// the caller chose tells of its own earlier request; for one of this instance
+// the group is asked what became of it.
+func (e *Engine) takeDuplicate(r *request, ended message.AnswerEnded) {
+	e.free(r, endingOf(ended, false))
+	if r.ownKey {
+		e.refuseRequest(r, rank.Refusal{
+			Why: message.RefuseDuplicate, Detail: "a request with this key was committed or settled before",
+		})
+		return
+	}
+	e.settle(r)
+}
+
+// takeLost decides after a connection broke with an answer outstanding.
+func (e *Engine) takeLost(r *request, answer message.AnswerLost, ended message.AnswerEnded) {
+	e.probeGroup(r.group)
+	ending := endingOf(ended, true)
+	if answer.Committing && !r.isRead() {
+		e.free(r, ending)
+		e.settle(r)
+		return
+	}
+	if answer.Passed {
+		e.free(r, ending)
+		e.abandon(r, false, "the connection to the database broke inside the answer")
+		return
+	}
+	if r.transaction {
+		e.free(r, ending)
+		e.abandon(r, false, "the transaction's database was lost before its COMMIT was sent")
+		return
+	}
+	if !e.now.Before(r.deadline) {
+		e.free(r, ending)
+		e.refuseRequest(r, rank.Refusal{Why: message.RefuseDeadline, Detail: "no answer inside the deadline; nothing was committed"})
+		return
+	}
+	e.retry(r, ending, 0)
+}
+
+// -----------------------------------------------------------------------------
+// Settlement of unknown outcomes.
+
+// settle begins to ask the group what became of a request's key.
+func (e *Engine) settle(r *request) {
+	delete(r.group.proving, r.id)
+	r.phase = phaseSettling
+	r.settleAt = e.now
+	e.requests.settling[r.id] = r
+}
+
+// runSettle asks the primary of the newest proven term for each open outcome.
+func (e *Engine) runSettle() {
+	if len(e.requests.settling) == 0 {
+		return
+	}
+	for _, r := range sortedRequests(e.requests.settling) {
+		if !e.now.Before(r.deadline) {
+			e.abandon(r, true, "the group could not be asked for the outcome inside the deadline")
+			continue
+		}
+		if r.settleAsk != 0 || e.now.Before(r.settleAt) {
+			continue
+		}
+		if !r.group.isProven(e.now, proofAge) {
+			continue
+		}
+		e.askOutcome(r)
+	}
+}
+
+// askOutcome sends the question for one request's outcome.
+func (e *Engine) askOutcome(r *request) {
+	g := r.group
+	r.settleAsk = e.ask()
+	r.term = g.term
+	r.database = g.primary
+	e.requests.bySettle[r.settleAsk] = r
+	e.note(event.OutcomeAsked,
+		event.F("request", r.id), event.F("group", g.name), event.F("database", g.primary.name),
+		event.F("term", g.term), event.F("key", r.key))
+	e.do(message.Settle{
+		Database: g.primary.name, Ask: r.settleAsk, Key: r.key, Term: g.term, Timeout: controlTimeout,
+	})
+}
+
+// takeSettled learns the outcome of a key.
+func (e *Engine) takeSettled(answered message.SettleAnswered) {
+	r, found := e.requests.bySettle[answered.Ask]
+	if !found {
+		return
+	}
+	delete(e.requests.bySettle, answered.Ask)
+	r.settleAsk = 0
+	if answered.Err != message.AskOK || r.term != r.group.term {
+		r.settleAt = e.now.Add(e.jitter(retryPause))
+		e.probeGroup(r.group)
+		return
+	}
+	delete(e.requests.settling, r.id)
+	r.phase = phaseSettled
+	r.committed = answered.Committed
+	r.position = e.settledPosition(r, answered.Position)
+	e.learnPrimary(r, answered.Position)
+	r.group.proving[r.id] = r
+}
+
+// settledPosition returns the position whose proof settles an outcome. A commit
+// of an earlier term stands in the log before the entry that opened the present
+// one, so any proven position of the present term covers it.
+func (e *Engine) settledPosition(r *request, position model.Position) model.Position {
+	if position.Term == r.group.term {
+		return position
+	}
+	return model.Position{Term: r.group.term}
+}
+
+// endSettled ends a request whose outcome is proven.
+func (e *Engine) endSettled(r *request) {
+	e.note(event.OutcomeSettled,
+		event.F("request", r.id), event.F("group", r.group.name), event.F("key", r.key),
+		event.F("committed", r.committed), event.F("position", r.position.String()))
+	switch {
+	case r.committed && r.answered:
+		e.acknowledge(r)
+	case r.committed:
+		r.session.raise(r.position, e.now)
+		e.abandon(r, true, "the work is committed, but its answer was lost")
+	case r.isRepeatable() && e.now.Before(r.deadline):
+		e.repeat(r)
+	default:
+		e.refuseRequest(r, rank.Refusal{
+			Why: message.RefuseSettled, Detail: "the group has proved that the work was not committed and never will be",
+		})
+	}
+}
+
+// isRepeatable reports whether the proxy can run a request again after proof
+// that it did not commit. A transaction's statements are not kept, and a key
+// that the caller chose is spent.
+func (r *request) isRepeatable() bool { return !r.transaction && !r.ownKey }
+
+// repeat queues a request again under a new key: the old one is forbidden.
+func (e *Engine) repeat(r *request) {
+	refusal, admitted := e.scheduler.Offer(e.now, rank.Work{
+		Request: r.id, Group: r.group.name, Rank: r.kind.Rank, Caller: r.session.caller, Kind: r.kind.Name,
+		Arrived: r.arrived, Deadline: r.deadline,
+	})
+	if !admitted {
+		refusal.Why = message.RefuseSettled
+		e.refuseRequest(r, refusal)
+		return
+	}
+	r.key += "+"
+	r.phase = phaseWaiting
+	r.answered = false
+	r.dropped = false
+	r.notBefore = e.now
+	r.position = model.Position{}
+}
--- /dev/null
+++ b/internal/core/engine/table_instance.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"net/netip"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// instance is what is known of another instance.
+type instance struct {
+	id   model.InstanceID
+	zone model.ZoneID
+	peer netip.AddrPort
+	// heard is when its last heartbeat came; alive says that this was lately.
+	heard   time.Time
+	alive   bool
+	leaving bool
+	// listed says that the platform's list has it; the list lags and proves
+	// nothing.
+	listed bool
+	// manifest is the number of the manifest in force there.
+	manifest uint64
+	// told is when this instance last sent it a heartbeat.
+	told time.Time
+}
+
+// instanceTable holds the other instances.
+type instanceTable struct {
+	byID map[model.InstanceID]*instance
+	// changed says that the set of links or of live instances may differ from
+	// what was last published.
+	changed  bool
+	sequence uint64
+	listAsk  uint64
+	listAt   time.Time
+}
+
+func newInstanceTable() instanceTable {
+	return instanceTable{byID: map[model.InstanceID]*instance{}, changed: true}
+}
+
+// get returns the entry of an instance, made where there is none.
+func (t *instanceTable) get(id model.InstanceID) *instance {
+	entry, found := t.byID[id]
+	if !found {
+		entry = &instance{id: id}
+		t.byID[id] = entry
+		t.changed = true
+	}
+	return entry
+}
+
+// sorted returns the instances in the order of their names.
+func (t *instanceTable) sorted() []*instance {
+	list := make([]*instance, 0, len(t.byID))
+	for _, entry := range t.byID {
+		list = append(list, entry)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
+
+// alive returns the names of the live instances that stay, without this one.
+func (t *instanceTable) alive() []model.InstanceID {
+	var names []model.InstanceID
+	for _, entry := range t.sorted() {
+		if entry.alive && !entry.leaving {
+			names = append(names, entry.id)
+		}
+	}
+	return names
+}
+
+// weight orders instances for a name by rendezvous hashing: each name has its
+// own order, and an instance's failure moves only the names it was first for.
+func weight[N ~string](id model.InstanceID, name N) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + strconv.Itoa(len(name)) + string(name))
+}
--- a/internal/core/message/event_caller.go
+++ b/internal/core/message/event_caller.go
@@ -40,6 +40,8 @@
 	// Key is the idempotency key under which the databases log the commit;
 	// it is unique over all instances and restarts.
 	Key string
+	// OwnKey says that the caller chose Key itself.
+	OwnKey bool
 	// Transaction says that the request keeps its backend connection from
 	// BEGIN to COMMIT or ROLLBACK.
 	Transaction bool
--- a/internal/core/message/event_operator.go
+++ b/internal/core/message/event_operator.go
@@ -88,6 +88,14 @@
 	Fields []event.Field
 }
 
+// Readiness tells the operators' edge whether the instance can take callers. It
+// is sent when it changes.
+type Readiness struct {
+	Ready bool
+	// Why tells what is missing.
+	Why string
+}
+
 // Leave tells the process that the instance is drained and may end.
 type Leave struct{}
 
@@ -98,4 +106,5 @@
 func (Reported) isAction()        {}
 func (ManifestDecided) isAction() {}
 func (Note) isAction()            {}
+func (Readiness) isAction()       {}
 func (Leave) isAction()           {}
--- /dev/null
+++ b/internal/report/status/status.go
@@ -0,0 +1,99 @@
+// Package status defines the reports that an instance gives to operators.
+//
+// # What flows in and out
+//
+// The core fills the types; the operators' edge sends them as JSON, and the
+// command line reads and prints them. Keys are short names of one word, times
+// are of the reporting instance's clock, durations are in nanoseconds.
+//
+// # Usage
+//
+//	var report status.Status
+//	err := json.Unmarshal(body, &report)
+package status
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Status is the whole state of one instance, as it believes it.
+type Status struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	// Manifest is the number of the manifest in force; 0 where there is none.
+	Manifest uint64 `json:"manifest"`
+	Digest   string `json:"digest"`
+	Draining bool   `json:"draining"`
+	// Sessions and Requests count what is open now.
+	Sessions int     `json:"sessions"`
+	Requests int     `json:"requests"`
+	Groups   []Group `json:"groups"`
+	Peers    []Peer  `json:"peers"`
+	Ranks    any     `json:"ranks,omitempty"`
+}
+
+// Group is one group of databases.
+type Group struct {
+	Name    string `json:"name"`
+	Term    uint64 `json:"term"`
+	Primary string `json:"primary"`
+	// Proven is the newest position that survives a promotion.
+	Proven string `json:"proven"`
+	// Proof is the age of the proof of the term.
+	Proof time.Duration `json:"proof"`
+	// Proving and Settling count commits that wait for a proof, and those
+	// whose outcome is being asked for.
+	Proving  int `json:"proving"`
+	Settling int `json:"settling"`
+	// Change names the step of a change of primary conducted here.
+	Change    string     `json:"change"`
+	Evidence  []string   `json:"evidence,omitempty"`
+	Databases []Database `json:"databases"`
+}
+
+// Database is one database as the instance last heard of it.
+type Database struct {
+	Name      string         `json:"name"`
+	Zone      string         `json:"zone"`
+	Address   netip.AddrPort `json:"address"`
+	Role      string         `json:"role"`
+	Term      uint64         `json:"term"`
+	Received  string         `json:"received"`
+	Applied   string         `json:"applied"`
+	Streaming bool           `json:"streaming"`
+	Leaving   bool           `json:"leaving"`
+	Reachable bool           `json:"reachable"`
+	// Silent is the time since the last answer.
+	Silent  time.Duration `json:"silent"`
+	Lag     time.Duration `json:"lag"`
+	Latency time.Duration `json:"latency"`
+	// Running counts this instance's requests at the database.
+	Running int `json:"running"`
+}
+
+// Peer is another instance.
+type Peer struct {
+	Instance string         `json:"instance"`
+	Zone     string         `json:"zone"`
+	Address  netip.AddrPort `json:"address"`
+	Alive    bool           `json:"alive"`
+	Leaving  bool           `json:"leaving"`
+	Manifest uint64         `json:"manifest"`
+	Silent   time.Duration  `json:"silent"`
+}
+
+// Logbook is a list of changes of primary.
+type Logbook struct {
+	Records []any `json:"records"`
+	// Source tells whether the platform was asked lately; without it the
+	// records are what this instance and its peers know.
+	Asked time.Time `json:"asked"`
+}
+
+// Manifest is the manifest in force.
+type Manifest struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+	Body   string `json:"body"`
+}
