Read manifests strictly, every fault with its line

Cause: operators need the whole list of what is wrong with a manifest in one review, and a misspelt key must not become a silent default. Ruled out: decoding into structs. It stops at the first wrong value, and the checks that run after it know no lines. Change: config/toml reads a document into tables that hand out typed values and collect faults; config/manifest checks names, ranks, kinds, groups, addresses and limits on top, prints and compares manifests. Examples for both deployments. Golden files for fault lists, a property (a printed manifest reads back equal) and a fuzz target.

--- a/internal/config/manifest/manifest.go
+++ b/internal/config/manifest/manifest.go
@@ -6,12 +6,17 @@
 // The bytes of a TOML document flow in, from a file or from the platform's
 // object store. A Manifest flows out, checked whole, or a list of faults with
 // their lines. Keys are short names of one word, and an unknown key is a fault:
-// a misspelt limit must not silently become the default.
+// a misspelt limit must not silently become the default. All faults are reported
+// at once, so that a review needs one round.
+//
+// The submitted bytes, not the printed form of what was read, are stored and
+// named by their digest: comments that reviewers wrote stay.
 //
 // # Usage
 //
 //	m, err := manifest.Parse(body)
 //	digest := manifest.Digest(body)
+//	for _, change := range manifest.Diff(old, m) { ... }
 package manifest
 
 import (
--- /dev/null
+++ b/internal/config/manifest/manifest_test.go
@@ -0,0 +1,198 @@
+package manifest
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func compareGolden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", path, diff)
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Faults.
+
+func TestFaults(t *testing.T) {
+	paths, _ := filepath.Glob("testdata/faults/*.toml")
+	if len(paths) == 0 {
+		t.Fatal("no cases")
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			body, _ := os.ReadFile(path)
+			_, warnings, err := Inspect(body)
+			if err == nil {
+				t.Fatal("no faults were found")
+			}
+			report := err.Error() + "\n"
+			for _, warning := range warnings {
+				report += "warning: " + warning.String() + "\n"
+			}
+			compareGolden(t, strings.TrimSuffix(path, ".toml")+".golden", report)
+		})
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Examples.
+
+func readExample(t testing.TB, name string) ([]byte, *Manifest) {
+	t.Helper()
+	body, err := os.ReadFile(filepath.Join("../../../examples", name, "manifest.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, warnings, err := Inspect(body)
+	if err != nil || len(warnings) > 0 {
+		t.Fatalf("Inspect(%s) = %v, warnings %v", name, err, warnings)
+	}
+	return body, m
+}
+
+func TestExamples(t *testing.T) {
+	for name, slots := range map[string]int{"consortium": 3, "reparto": 2} {
+		t.Run(name, func(t *testing.T) {
+			_, m := readExample(t, name)
+			if m.Limits.Slots != slots || len(m.Groups) != 3 || len(m.Ranks) != 3 {
+				t.Errorf("%d slots, %d groups, %d ranks", m.Limits.Slots, len(m.Groups), len(m.Ranks))
+			}
+			compareGolden(t, "testdata/"+name+".golden", string(Format(m)))
+		})
+	}
+}
+
+func TestDefaultKind(t *testing.T) {
+	_, m := readExample(t, "consortium")
+	want := Kind{Name: "default", Rank: 1, Access: model.AccessWrite, Deadline: 10 * time.Second}
+	if diff := cmp.Diff(want, m.Kinds[len(m.Kinds)-1]); diff != "" {
+		t.Errorf("default kind (-want +got):\n%s", diff)
+	}
+}
+
+func TestDiff(t *testing.T) {
+	body, before := readExample(t, "consortium")
+	text := strings.Replace(string(body), "slots = 3", "slots = 2", 1)
+	text = strings.Replace(text, "stale = \"2s\"\n", "", 1)
+	text = strings.Replace(text, `name = "import-ratings"`, `name = "import"`, 1)
+	after, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, change := range Diff(before, after) {
+		lines = append(lines, change.String())
+	}
+	compareGolden(t, "testdata/diff.golden", strings.Join(lines, "\n")+"\n")
+	if changes := Diff(after, after); len(changes) > 0 {
+		t.Errorf("a manifest differs from itself: %v", changes)
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Properties.
+
+func drawManifest(t *rapid.T) *Manifest {
+	duration := rapid.Int64Range(1, int64(time.Hour))
+	m := &Manifest{Service: "s"}
+	m.Limits.Slots = rapid.IntRange(1, 9).Draw(t, "slots")
+	m.Limits.Connections = rapid.IntRange(m.Limits.Slots, 99).Draw(t, "connections")
+	m.Limits.Reserve = rapid.IntRange(0, m.Limits.Connections-1).Draw(t, "reserve")
+	m.Limits.Open = time.Duration(duration.Draw(t, "open"))
+	for i := range rapid.IntRange(1, 4).Draw(t, "ranks") {
+		m.Ranks = append(m.Ranks, Rank{
+			Name:   fmt.Sprintf("r%d", i),
+			Target: time.Duration(duration.Draw(t, "target")),
+			Worth:  rapid.Float64Range(0.001, 1e9).Draw(t, "worth"),
+			Floor:  rapid.Float64Range(0, 0.25).Draw(t, "floor"),
+		})
+	}
+	for i := range rapid.IntRange(0, 4).Draw(t, "kinds") {
+		kind := Kind{Name: fmt.Sprintf("k%d", i), Deadline: time.Duration(duration.Draw(t, "deadline"))}
+		kind.Rank = model.Rank(rapid.IntRange(0, len(m.Ranks)-1).Draw(t, "rank"))
+		kind.Repeat = rapid.Bool().Draw(t, "repeat")
+		if rapid.Bool().Draw(t, "read") {
+			kind.Access, kind.Bounded = model.AccessRead, rapid.Bool().Draw(t, "bounded")
+		}
+		if kind.Bounded {
+			kind.Stale = time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "stale"))
+		}
+		m.Kinds = append(m.Kinds, kind)
+	}
+	m.addDefaultKind()
+	for g := range rapid.IntRange(1, 3).Draw(t, "groups") {
+		group := Group{Name: model.GroupID(fmt.Sprintf("g%d", g))}
+		for d := range rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "size") {
+			group.Databases = append(group.Databases, Database{
+				Name:    model.DatabaseID(fmt.Sprintf("g%d-%d", g, d)),
+				Zone:    "z",
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(g), byte(d)}), 5432),
+				Leaving: rapid.Bool().Draw(t, "leaving"),
+			})
+		}
+		m.Groups = append(m.Groups, group)
+	}
+	return m
+}
+
+func TestFormatIsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := drawManifest(t)
+		got, err := Parse(Format(want))
+		if err != nil {
+			t.Fatalf("Parse: %v\n%s", err, Format(want))
+		}
+		if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+			t.Errorf("after Format and Parse (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"consortium", "reparto"} {
+		body, _ := readExample(f, name)
+		f.Add(body)
+	}
+	paths, _ := filepath.Glob("testdata/faults/*.toml")
+	for _, path := range paths {
+		body, _ := os.ReadFile(path)
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m, err := Parse(body)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Format(m))
+		if err != nil {
+			t.Fatalf("Parse of the printed form: %v\n%s", err, Format(m))
+		}
+		if changes := Diff(m, again); len(changes) > 0 {
+			t.Errorf("the printed form differs: %v", changes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/manifest/parse.go
@@ -0,0 +1,298 @@
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/toml"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// FaultsError lists everything that is wrong with a document.
+type FaultsError = toml.FaultsError
+
+// Fault is one entry of a FaultsError.
+type Fault = toml.Fault
+
+const (
+	// DefaultKind is the kind of requests that name none.
+	DefaultKind = "default"
+	// DefaultDeadline is the deadline of DefaultKind where the document
+	// declares no such kind.
+	DefaultDeadline = 10 * time.Second
+	// DefaultOpen is the time to open a connection where the document gives
+	// none.
+	DefaultOpen = 12 * time.Millisecond
+	// leastDatabases is the number of databases from which on a majority
+	// survives the loss of one.
+	leastDatabases = 3
+	// floorSlack allows for the rounding of floors that add up to 1.
+	floorSlack = 1e-9
+)
+
+// validName is the form of all names: they go into connection parameters, log
+// lines and control statements without quoting.
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// -----------------------------------------------------------------------------
+// Reading.
+
+// Parse reads a document and checks it whole. Its error is a *FaultsError.
+func Parse(body []byte) (*Manifest, error) {
+	m, _, err := Inspect(body)
+	return m, err
+}
+
+// Inspect is Parse, with warnings about what is allowed but unwise.
+func Inspect(body []byte) (m *Manifest, warnings []Fault, err error) {
+	root, err := toml.Read(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := reader{
+		ranks:     map[string]model.Rank{},
+		databases: map[string]bool{},
+		addresses: map[netip.AddrPort]bool{},
+	}
+	m = r.read(root)
+	if err := root.Finish(); err != nil {
+		return nil, r.warnings, err
+	}
+	return m, r.warnings, nil
+}
+
+// Digest returns the hexadecimal SHA-256 of a document: the name of its object
+// in the platform's object store.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+type reader struct {
+	warnings  []Fault
+	ranks     map[string]model.Rank
+	databases map[string]bool
+	addresses map[netip.AddrPort]bool
+}
+
+func (r *reader) read(root *toml.Table) *Manifest {
+	root.Need("service", "rank", "group")
+	m := &Manifest{Service: readName(root, "service", map[string]bool{})}
+	m.Limits = readLimits(root.Table("limits"))
+	m.Ranks = r.readRanks(root.Tables("rank"))
+	m.Kinds = r.readKinds(root.Tables("kind"))
+	m.Groups = r.readGroups(root.Tables("group"))
+	m.addDefaultKind()
+	return m
+}
+
+// readName reads a name and notes it in taken; a name noted before is a fault.
+func readName(table *toml.Table, key string, taken map[string]bool) string {
+	name, found := table.Text(key)
+	switch {
+	case !found:
+	case !validName.MatchString(name):
+		table.Fault(key, "%q is no name: letters, digits, '.', '_' and '-' only, at most 63", name)
+	case taken[name]:
+		table.Fault(key, "%q is declared twice", name)
+	}
+	taken[name] = true
+	return name
+}
+
+// -----------------------------------------------------------------------------
+// Limits.
+
+func readLimits(table *toml.Table) Limits {
+	table.Need("slots", "connections")
+	limits := Limits{Open: DefaultOpen}
+	slots, hasSlots := table.Int("slots")
+	connections, hasConnections := table.Int("connections")
+	limits.Slots, limits.Connections = slots, connections
+	limits.Reserve, _ = table.Int("reserve")
+	if open, found := table.Duration("open"); found {
+		limits.Open = open
+	}
+	if hasSlots && slots < 1 {
+		table.Fault("slots", "must be at least 1")
+	}
+	if hasConnections && connections < 1 {
+		table.Fault("connections", "must be at least 1")
+	}
+	if hasSlots && hasConnections && slots > connections {
+		table.Fault("slots", "%d slots need as many connections, and there are %d", slots, connections)
+	}
+	if limits.Reserve < 0 || hasConnections && limits.Reserve >= connections {
+		table.Fault("reserve", "must be from 0 to below connections")
+	}
+	if limits.Open < 0 {
+		table.Fault("open", "must not be negative")
+	}
+	return limits
+}
+
+// -----------------------------------------------------------------------------
+// Ranks.
+
+func (r *reader) readRanks(tables []*toml.Table) []Rank {
+	taken := map[string]bool{}
+	var ranks []Rank
+	floors := 0.0
+	for i, table := range tables {
+		rank := readRank(table, taken)
+		if _, found := r.ranks[rank.Name]; !found {
+			r.ranks[rank.Name] = model.Rank(i)
+		}
+		ranks = append(ranks, rank)
+		if floors <= 1+floorSlack && floors+rank.Floor > 1+floorSlack {
+			table.Fault("floor", "all floors together must be at most 1, and here they reach %g", floors+rank.Floor)
+		}
+		floors += rank.Floor
+	}
+	return ranks
+}
+
+func readRank(table *toml.Table, taken map[string]bool) Rank {
+	table.Need("name", "target", "worth", "floor")
+	rank := Rank{Name: readName(table, "name", taken)}
+	target, hasTarget := table.Duration("target")
+	worth, hasWorth := table.Float("worth")
+	floor, hasFloor := table.Float("floor")
+	if hasTarget && target <= 0 {
+		table.Fault("target", "must be above 0")
+	}
+	if hasWorth && (!(worth > 0) || math.IsInf(worth, 0)) {
+		table.Fault("worth", "must be above 0")
+	}
+	if hasFloor && !(floor >= 0 && floor <= 1) {
+		table.Fault("floor", "must be from 0 to 1")
+		floor = 0
+	}
+	rank.Target, rank.Worth, rank.Floor = target, worth, floor
+	return rank
+}
+
+// -----------------------------------------------------------------------------
+// Kinds.
+
+func (r *reader) readKinds(tables []*toml.Table) []Kind {
+	taken := map[string]bool{}
+	var kinds []Kind
+	for _, table := range tables {
+		kinds = append(kinds, r.readKind(table, taken))
+	}
+	return kinds
+}
+
+func (r *reader) readKind(table *toml.Table, taken map[string]bool) Kind {
+	table.Need("name", "rank", "access", "deadline")
+	kind := Kind{Name: readName(table, "name", taken)}
+	if name, found := table.Text("rank"); found {
+		rank, declared := r.ranks[name]
+		if !declared {
+			table.Fault("rank", "there is no rank %q", name)
+		}
+		kind.Rank = rank
+	}
+	kind.Access = readAccess(table)
+	kind.Deadline, _ = table.Duration("deadline")
+	if table.Has("deadline") && kind.Deadline <= 0 {
+		table.Fault("deadline", "must be a duration above 0")
+	}
+	kind.Repeat, _ = table.Bool("repeat")
+	kind.Stale, kind.Bounded = table.Duration("stale")
+	if kind.Bounded && kind.Access != model.AccessRead {
+		table.Fault("stale", "only reads have a bound of staleness")
+	}
+	if kind.Stale < 0 {
+		table.Fault("stale", "must not be negative")
+	}
+	return kind
+}
+
+func readAccess(table *toml.Table) model.Access {
+	text, found := table.Text("access")
+	if !found {
+		return model.AccessWrite
+	}
+	for _, access := range []model.Access{model.AccessWrite, model.AccessRead} {
+		if text == access.String() {
+			return access
+		}
+	}
+	table.Fault("access", "%q is neither \"read\" nor \"write\"", text)
+	return model.AccessRead
+}
+
+// addDefaultKind adds the kind of requests that name none, where the document
+// does not declare it.
+func (m *Manifest) addDefaultKind() {
+	for _, kind := range m.Kinds {
+		if kind.Name == DefaultKind {
+			return
+		}
+	}
+	m.Kinds = append(m.Kinds, Kind{
+		Name:     DefaultKind,
+		Rank:     model.Rank(len(m.Ranks) / 2),
+		Access:   model.AccessWrite,
+		Deadline: DefaultDeadline,
+	})
+}
+
+// -----------------------------------------------------------------------------
+// Groups.
+
+func (r *reader) readGroups(tables []*toml.Table) []Group {
+	taken := map[string]bool{}
+	var groups []Group
+	for _, table := range tables {
+		table.Need("name", "database")
+		group := Group{Name: model.GroupID(readName(table, "name", taken))}
+		for _, database := range table.Tables("database") {
+			group.Databases = append(group.Databases, r.readDatabase(database))
+		}
+		r.checkSize(table, len(group.Databases))
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// checkSize wants an odd number of databases: an even one bears no more losses
+// than the odd number below it.
+func (r *reader) checkSize(table *toml.Table, size int) {
+	switch {
+	case size == 0 || size >= leastDatabases && size%2 == 1:
+	case size < leastDatabases:
+		r.warnings = append(r.warnings, Fault{
+			Line: table.Line(""), Key: "group.database",
+			Text: "with fewer than 3 databases no failover is possible when one is lost",
+		})
+	default:
+		table.Fault("database", "a group wants an odd number of databases, and here are %d", size)
+	}
+}
+
+func (r *reader) readDatabase(table *toml.Table) Database {
+	table.Need("name", "zone", "address")
+	database := Database{Name: model.DatabaseID(readName(table, "name", r.databases))}
+	database.Zone = model.ZoneID(readName(table, "zone", map[string]bool{}))
+	database.Leaving, _ = table.Bool("leaving")
+	address, found := table.Address("address")
+	if !found {
+		return database
+	}
+	if address.Port() == 0 || address.Addr().IsUnspecified() {
+		table.Fault("address", "%s can't be connected to", address)
+	}
+	if r.addresses[address] {
+		table.Fault("address", "%s is the address of another database too", address)
+	}
+	r.addresses[address] = true
+	database.Address = address
+	return database
+}
--- /dev/null
+++ b/internal/config/manifest/print.go
@@ -0,0 +1,231 @@
+package manifest
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	gotoml "github.com/pelletier/go-toml/v2"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// -----------------------------------------------------------------------------
+// The printed form.
+
+type printedManifest struct {
+	Service string         `toml:"service"`
+	Limits  printedLimits  `toml:"limits"`
+	Ranks   []printedRank  `toml:"rank"`
+	Kinds   []printedKind  `toml:"kind"`
+	Groups  []printedGroup `toml:"group"`
+}
+
+type printedLimits struct {
+	Slots       int    `toml:"slots"`
+	Connections int    `toml:"connections"`
+	Reserve     int    `toml:"reserve"`
+	Open        string `toml:"open"`
+}
+
+type printedRank struct {
+	Name   string  `toml:"name"`
+	Target string  `toml:"target"`
+	Worth  float64 `toml:"worth"`
+	Floor  float64 `toml:"floor"`
+}
+
+type printedKind struct {
+	Name     string  `toml:"name"`
+	Rank     string  `toml:"rank"`
+	Access   string  `toml:"access"`
+	Stale    *string `toml:"stale,omitempty"`
+	Deadline string  `toml:"deadline"`
+	Repeat   bool    `toml:"repeat"`
+}
+
+type printedGroup struct {
+	Name      string            `toml:"name"`
+	Databases []printedDatabase `toml:"database"`
+}
+
+type printedDatabase struct {
+	Name    string         `toml:"name"`
+	Zone    string         `toml:"zone"`
+	Address netip.AddrPort `toml:"address"`
+	Leaving bool           `toml:"leaving"`
+}
+
+// Format prints m as a document with every default written out. Parse reads it
+// to an equal Manifest.
+func Format(m *Manifest) []byte {
+	printed := printedManifest{Service: m.Service, Limits: printLimits(m.Limits)}
+	for _, rank := range m.Ranks {
+		printed.Ranks = append(printed.Ranks, printRank(rank))
+	}
+	for _, kind := range m.Kinds {
+		printed.Kinds = append(printed.Kinds, m.printKind(kind))
+	}
+	for _, group := range m.Groups {
+		printed.Groups = append(printed.Groups, printGroup(group))
+	}
+	var buffer bytes.Buffer
+	encoder := gotoml.NewEncoder(&buffer)
+	if err := encoder.Encode(printed); err != nil {
+		panic(err) // the types above have no value that can't be encoded
+	}
+	return buffer.Bytes()
+}
+
+func printLimits(limits Limits) printedLimits {
+	return printedLimits{
+		Slots:       limits.Slots,
+		Connections: limits.Connections,
+		Reserve:     limits.Reserve,
+		Open:        limits.Open.String(),
+	}
+}
+
+func printRank(rank Rank) printedRank {
+	return printedRank{Name: rank.Name, Target: rank.Target.String(), Worth: rank.Worth, Floor: rank.Floor}
+}
+
+func (m *Manifest) printKind(kind Kind) printedKind {
+	printed := printedKind{
+		Name:     kind.Name,
+		Rank:     m.rankName(kind.Rank),
+		Access:   kind.Access.String(),
+		Deadline: kind.Deadline.String(),
+		Repeat:   kind.Repeat,
+	}
+	if kind.Bounded {
+		stale := kind.Stale.String()
+		printed.Stale = &stale
+	}
+	return printed
+}
+
+func (m *Manifest) rankName(rank model.Rank) string {
+	if int(rank) < len(m.Ranks) {
+		return m.Ranks[rank].Name
+	}
+	return strconv.Itoa(int(rank))
+}
+
+func printGroup(group Group) printedGroup {
+	printed := printedGroup{Name: string(group.Name)}
+	for _, database := range group.Databases {
+		printed.Databases = append(printed.Databases, printedDatabase{
+			Name:    string(database.Name),
+			Zone:    string(database.Zone),
+			Address: database.Address,
+			Leaving: database.Leaving,
+		})
+	}
+	return printed
+}
+
+// -----------------------------------------------------------------------------
+// Differences.
+
+// Change is one difference between two manifests.
+type Change struct {
+	// Key locates the value, such as "limits slots" or "kind post-finish rank".
+	Key string
+	// Before and After are the values; empty where there is none.
+	Before, After string
+}
+
+// String formats c with a leading '+' for what is new, '-' for what is gone
+// and '~' for what differs.
+func (c Change) String() string {
+	switch {
+	case c.Before == "":
+		return fmt.Sprintf("+ %s = %s", c.Key, c.After)
+	case c.After == "":
+		return fmt.Sprintf("- %s = %s", c.Key, c.Before)
+	default:
+		return fmt.Sprintf("~ %s = %s (was %s)", c.Key, c.After, c.Before)
+	}
+}
+
+// Diff lists what differs between before and after: first what is gone or
+// changed, in the order of before, then what is new, in the order of after.
+// A nil manifest is an empty one.
+func Diff(before, after *Manifest) []Change {
+	older, newer := before.values(), after.values()
+	var changes []Change
+	for _, key := range older.order {
+		if older.text[key] != newer.text[key] {
+			changes = append(changes, Change{Key: key, Before: older.text[key], After: newer.text[key]})
+		}
+	}
+	for _, key := range newer.order {
+		if _, found := older.text[key]; !found {
+			changes = append(changes, Change{Key: key, After: newer.text[key]})
+		}
+	}
+	return changes
+}
+
+// values holds every value of a manifest as text, under a key.
+type values struct {
+	order []string
+	text  map[string]string
+}
+
+func (v *values) add(key string, value any) {
+	v.order = append(v.order, key)
+	v.text[key] = fmt.Sprint(value)
+}
+
+func (m *Manifest) values() *values {
+	v := &values{text: map[string]string{}}
+	if m == nil {
+		return v
+	}
+	v.add("service", m.Service)
+	v.add("limits slots", m.Limits.Slots)
+	v.add("limits connections", m.Limits.Connections)
+	v.add("limits reserve", m.Limits.Reserve)
+	v.add("limits open", m.Limits.Open)
+	for i, rank := range m.Ranks {
+		v.addRank(i, rank)
+	}
+	for _, kind := range m.Kinds {
+		v.addKind(m, kind)
+	}
+	for _, group := range m.Groups {
+		v.addGroup(group)
+	}
+	return v
+}
+
+func (v *values) addRank(place int, rank Rank) {
+	key := "rank " + rank.Name
+	v.add(key+" place", place+1)
+	v.add(key+" target", rank.Target)
+	v.add(key+" worth", rank.Worth)
+	v.add(key+" floor", rank.Floor)
+}
+
+func (v *values) addKind(m *Manifest, kind Kind) {
+	key := "kind " + kind.Name
+	v.add(key+" rank", m.rankName(kind.Rank))
+	v.add(key+" access", kind.Access)
+	if kind.Bounded {
+		v.add(key+" stale", kind.Stale)
+	}
+	v.add(key+" deadline", kind.Deadline)
+	v.add(key+" repeat", kind.Repeat)
+}
+
+func (v *values) addGroup(group Group) {
+	for _, database := range group.Databases {
+		key := fmt.Sprintf("group %s database %s", group.Name, database.Name)
+		v.add(key+" zone", database.Zone)
+		v.add(key+" address", database.Address)
+		v.add(key+" leaving", database.Leaving)
+	}
+}
