Read an instance's settings, with secrets kept outside

Cause: an instance learns its addresses, its availability zone and who may speak to it from settings alone; nothing may be open by default. Ruled out: passwords in the file itself; a copied settings file would give them away. A faulty secret's text is not repeated in the fault either. Names have one form for settings and manifest.

--- a/internal/config/manifest/parse.go
+++ b/internal/config/manifest/parse.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"math"
 	"net/netip"
-	"regexp"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/toml"
@@ -34,10 +33,6 @@
 	floorSlack = 1e-9
 )
 
-// validName is the form of all names: they go into connection parameters, log
-// lines and control statements without quoting.
-var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
-
 // -----------------------------------------------------------------------------
 // Reading.
 
@@ -95,8 +90,8 @@
 	name, found := table.Text(key)
 	switch {
 	case !found:
-	case !validName.MatchString(name):
-		table.Fault(key, "%q is no name: letters, digits, '.', '_' and '-' only, at most 63", name)
+	case !toml.IsName(name):
+		table.Fault(key, "%q is no name: %s", name, toml.NameForm)
 	case taken[name]:
 		table.Fault(key, "%q is declared twice", name)
 	}
--- /dev/null
+++ b/internal/config/settings/parse.go
@@ -0,0 +1,247 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/toml"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+)
+
+// FaultsError lists everything that is wrong with a settings file.
+type FaultsError = toml.FaultsError
+
+// Fault is one entry of a FaultsError.
+type Fault = toml.Fault
+
+const (
+	// DefaultTick is the longest time between two runs of the decisions where
+	// the settings give none.
+	DefaultTick = 5 * time.Millisecond
+	// DefaultUser is the name that the instance connects to databases with
+	// where the settings give none.
+	DefaultUser = "eelgrassfold"
+
+	leastTick = time.Millisecond
+	mostTick  = 100 * time.Millisecond
+)
+
+// -----------------------------------------------------------------------------
+// Reading.
+
+// Parse reads a settings file and checks it whole. Its error is a *FaultsError.
+func Parse(body []byte) (*Settings, error) {
+	s, _, err := Inspect(body)
+	return s, err
+}
+
+// Inspect is Parse, with warnings about what is allowed but unwise.
+func Inspect(body []byte) (s *Settings, warnings []Fault, err error) {
+	root, err := toml.Read(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := reader{}
+	s = r.read(root)
+	if err := root.Finish(); err != nil {
+		return nil, r.warnings, err
+	}
+	return s, r.warnings, nil
+}
+
+type reader struct {
+	warnings []Fault
+}
+
+func (r *reader) warn(table *toml.Table, key, text string) {
+	r.warnings = append(r.warnings, Fault{Line: table.Line(key), Key: key, Text: text})
+}
+
+func (r *reader) read(root *toml.Table) *Settings {
+	root.Need("name", "zone")
+	s := &Settings{Name: readName(root, "name"), Tick: readTick(root)}
+	s.Zone = model.ZoneID(readName(root, "zone"))
+	s.Seeds, _ = root.Addresses("seeds")
+	s.Listen = readListen(root.Table("listen"))
+	s.Platform = readPlatform(root.Table("platform"))
+	s.Peer = readPeer(root.Table("peer"))
+	s.Operator = readOperator(root.Table("operator"), s.Listen.Operators)
+	s.Caller = r.readCaller(root)
+	s.Database = readDatabase(root.Table("database"))
+	s.Log = readLog(root.Table("log"))
+	return s
+}
+
+func readName(table *toml.Table, key string) string {
+	name, found := table.Text(key)
+	if found && !toml.IsName(name) {
+		table.Fault(key, "%q is no name: %s", name, toml.NameForm)
+	}
+	return name
+}
+
+func readTick(root *toml.Table) time.Duration {
+	tick, found := root.Duration("tick")
+	if !found {
+		return DefaultTick
+	}
+	if tick < leastTick || tick > mostTick {
+		root.Fault("tick", "must be from %s to %s", leastTick, mostTick)
+	}
+	return tick
+}
+
+// -----------------------------------------------------------------------------
+// Addresses.
+
+func readListen(table *toml.Table) Listen {
+	table.Need("callers", "peers", "operators")
+	var listen Listen
+	listen.Callers, _ = table.Address("callers")
+	listen.Operators, _ = table.Address("operators")
+	peers, found := table.Address("peers")
+	if found && peers.Addr().IsUnspecified() {
+		table.Fault("peers", "%s can't be told to other instances; name the address that they reach", peers)
+	}
+	listen.Peers = peers
+	return listen
+}
+
+func readPlatform(table *toml.Table) Platform {
+	table.Need("url")
+	platform := Platform{Token: readSecret(table, "token")}
+	text, found := table.Text("url")
+	if !found {
+		return platform
+	}
+	address, err := url.Parse(text)
+	if err != nil || address.Scheme != "http" && address.Scheme != "https" {
+		table.Fault("url", "%q is no URL, such as \"http://10.1.0.2:8080\"", text)
+		return platform
+	}
+	if _, err := netip.ParseAddrPort(address.Host); err != nil {
+		table.Fault("url", "%q wants an IP address with a port as its host", text)
+	}
+	platform.URL = address
+	return platform
+}
+
+// -----------------------------------------------------------------------------
+// Who may speak.
+
+func readSecret(table *toml.Table, key string) Secret {
+	text, found := table.Text(key)
+	if !found {
+		return Secret{}
+	}
+	secret, valid := ParseSecret(text)
+	if !valid {
+		// The text is not repeated: it may be the secret itself.
+		table.Fault(key, "wants a reference, \"file:PATH\" or \"env:NAME\"; secrets don't stand in settings")
+	}
+	return secret
+}
+
+func readTLS(table *toml.Table) TLS {
+	var files TLS
+	files.Certificate, _ = table.Text("certificate")
+	files.Secret, _ = table.Text("secret")
+	files.Authority, _ = table.Text("authority")
+	if table.Has("certificate") != table.Has("secret") {
+		table.Fault("certificate", "certificate and secret go together")
+	}
+	return files
+}
+
+func readPeer(table *toml.Table) Peer {
+	peer := Peer{Key: readSecret(table, "key"), TLS: readTLS(table)}
+	if !table.Has("key") && !table.Has("certificate") {
+		table.Fault("", "wants a key, or a certificate, its secret and an authority")
+	}
+	if table.Has("certificate") && !table.Has("authority") {
+		table.Fault("certificate", "wants the authority that signed the peers' certificates")
+	}
+	return peer
+}
+
+func readOperator(table *toml.Table, listen netip.AddrPort) Operator {
+	operator := Operator{Token: readSecret(table, "token")}
+	if listen.IsValid() && !listen.Addr().IsLoopback() && !table.Has("token") {
+		table.Fault("token", "is missing, and other hosts reach %s", listen)
+	}
+	return operator
+}
+
+func (r *reader) readCaller(root *toml.Table) Caller {
+	table := root.Table("caller")
+	caller := Caller{TLS: readTLS(table)}
+	caller.Trust, _ = table.Bool("trust")
+	taken := map[string]bool{}
+	for _, user := range root.Tables("user") {
+		caller.Users = append(caller.Users, readUser(user, taken))
+	}
+	if !caller.Trust && len(caller.Users) == 0 {
+		table.Fault("", "nobody may connect: declare a [[user]], or set trust")
+	}
+	if caller.Trust && len(caller.Users) > 0 {
+		table.Fault("trust", "with trust, the passwords of users are not asked for: drop either")
+	}
+	if !caller.TLS.IsSet() {
+		r.warn(table, "caller", "without a certificate, callers' connections are not encrypted")
+	}
+	return caller
+}
+
+func readUser(table *toml.Table, taken map[string]bool) User {
+	table.Need("name", "password")
+	user := User{Name: readName(table, "name"), Password: readSecret(table, "password")}
+	if taken[user.Name] {
+		table.Fault("name", "%q is declared twice", user.Name)
+	}
+	taken[user.Name] = true
+	return user
+}
+
+func readDatabase(table *toml.Table) Database {
+	database := Database{User: DefaultUser, Password: readSecret(table, "password")}
+	if table.Has("user") {
+		database.User = readName(table, "user")
+	}
+	return database
+}
+
+// -----------------------------------------------------------------------------
+// Logs.
+
+func readLog(table *toml.Table) Log {
+	log := Log{Level: event.LevelInfo}
+	if text, found := table.Text("level"); found {
+		log.Level = readLevel(table, text)
+	}
+	if text, found := table.Text("format"); found {
+		log.Format = readFormat(table, text)
+	}
+	return log
+}
+
+func readLevel(table *toml.Table, text string) event.Level {
+	for level := event.LevelDebug; level <= event.LevelError; level++ {
+		if text == level.String() {
+			return level
+		}
+	}
+	table.Fault("level", "%q is none of debug, info, warn, error", text)
+	return event.LevelInfo
+}
+
+func readFormat(table *toml.Table, text string) Format {
+	for _, format := range []Format{FormatJSON, FormatText} {
+		if text == format.String() {
+			return format
+		}
+	}
+	table.Fault("format", "%q is neither \"json\" nor \"text\"", text)
+	return FormatJSON
+}
--- /dev/null
+++ b/internal/config/toml/name.go
@@ -0,0 +1,12 @@
+package toml
+
+import "regexp"
+
+// NameForm tells operators what IsName wants.
+const NameForm = "letters, digits, '.', '_' and '-' only, at most 63"
+
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// IsName reports whether text may name something. Names go into connection
+// parameters, log lines and control statements without quoting.
+func IsName(text string) bool { return validName.MatchString(text) }
