Write numbered events through logr, with a limit for floods

Cause: every part writes the events of the catalogue; without one writer each would map levels, count and limit on its own. Ruled out: logr's own verbosity for warnings: it knows info and error only, and a bridge to slog would lose the level.

--- /dev/null
+++ b/internal/report/eventlog/writer_test.go
@@ -0,0 +1,58 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
+)
+
+// newLog returns a writer of lines without times, and where they go.
+func newLog(limit int) (*eventlog.Writer, *bytes.Buffer) {
+	var out bytes.Buffer
+	handler := slog.NewTextHandler(&out, &slog.HandlerOptions{
+		Level: slog.LevelDebug,
+		ReplaceAttr: func(_ []string, attr slog.Attr) slog.Attr {
+			if attr.Key == slog.TimeKey {
+				return slog.Attr{}
+			}
+			return attr
+		},
+	})
+	return eventlog.NewWriter(logr.FromSlogHandler(handler), limit), &out
+}
+
+func TestWriterLimitsLinesOfOneEvent(t *testing.T) {
+	flood := event.Event{Number: 9991, Name: "flood", Level: event.LevelWarn}
+	other := event.Event{Number: 9992, Name: "other", Level: event.LevelError}
+	writer, out := newLog(2)
+	start := time.Unix(100, 0)
+	for i := range 5 {
+		writer.Write(start, flood, event.F("i", i))
+	}
+	writer.Write(start, other)
+	writer.Flush(start.Add(999 * time.Millisecond))
+	writer.Flush(start.Add(time.Second))
+	writer.Write(start.Add(time.Second), flood, event.F("i", 5))
+	want := strings.Join([]string{
+		"level=WARN msg=flood event=9991 i=0",
+		"level=WARN msg=flood event=9991 i=1",
+		"level=ERROR msg=other event=9992",
+		"level=WARN msg=lines-left-out event=901 of=9991 count=3",
+		"level=WARN msg=flood event=9991 i=5",
+		"",
+	}, "\n")
+	if diff := cmp.Diff(want, out.String()); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(int64(6), eventlog.Count(9991)); diff != "" {
+		t.Errorf("count of a limited event: %s", diff)
+	}
+}
