Serve by rank with floors, earliest deadline first, and refuse at the door

The scheduler served first come, first served, and took in everything. Work now waits by group, rank and the set of databases that may serve it, so that a full database or a lagging replica blocks only the work that needs it. Inside a rank the earliest deadline goes first, and a caller above half of the rank's slot-time gives way to others that wait. Ranks below their floor of a database's slot-time, which fades over 2 s, go before the others; the rest goes by urgency. What can't be in time, given the work before it and the measured service times, is refused.

Ruled out: a share of slots per instant, since a database has two or three slots only; a scan of all that waits, since a flood makes it long.

Still open: instances do not yet share slots, each uses all of them.

--- /dev/null
+++ b/internal/core/rank/group.go
@@ -0,0 +1,302 @@
+package rank
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Bounds on the work of one Grant, so that its cost does not grow with the
+// number of waiting requests.
+const (
+	// looksPerPick bounds the heads whose candidates are asked for in vain
+	// before the next rank has its turn.
+	looksPerPick = 8
+	// rechecksPerGrant bounds the waiting requests of one rank whose set of
+	// databases is looked at again.
+	rechecksPerGrant = 16
+)
+
+// callerShare is the share of a rank's slot-time above which a caller gives way
+// to others that wait.
+const callerShare = 0.5
+
+// Callers beyond pruneCount are forgotten pruneAge after their last slot.
+const (
+	pruneCount = 1024
+	pruneAge   = 5 * window
+)
+
+// group is the state of one group of databases.
+type group struct {
+	id        model.GroupID
+	databases []*database
+	queues    []*queue
+}
+
+// database is the state of one database.
+type database struct {
+	id     model.DatabaseID
+	group  *group
+	bit    uint64
+	ledger ledger
+}
+
+// caller is what the scheduler knows of one caller in one rank.
+type caller struct {
+	usage   usage
+	waiting int
+}
+
+// queue is the waiting work of one rank in one group.
+type queue struct {
+	rank    model.Rank
+	lanes   []*lane
+	fresh   []*item
+	recheck []*item
+	callers map[model.CallerID]*caller
+	// pruneAt is the number of callers at which old ones are forgotten.
+	pruneAt  int
+	usage    usage
+	waiting  int
+	bytes    int
+	backlog  [accesses]backlog
+	drain    [accesses]usage
+	standing standing
+	count    counters
+}
+
+func newQueue(r model.Rank, width time.Duration) *queue {
+	q := &queue{rank: r, callers: map[model.CallerID]*caller{}, pruneAt: pruneCount}
+	q.count.refused = map[message.RefuseWhy]uint64{}
+	for a := range q.backlog {
+		q.backlog[a].width = width
+	}
+	return q
+}
+
+// maskOf returns the set of the group's databases that the list names.
+func (g *group) maskOf(list []model.DatabaseID) uint64 {
+	mask := uint64(0)
+	for _, id := range list {
+		for _, d := range g.databases {
+			if d.id == id {
+				mask |= d.bit
+			}
+		}
+	}
+	return mask
+}
+
+// lane returns the lane of a set of databases.
+func (q *queue) lane(mask uint64) *lane {
+	for _, known := range q.lanes {
+		if known.mask == mask {
+			return known
+		}
+	}
+	added := newLane(mask)
+	q.lanes = append(q.lanes, added)
+	return added
+}
+
+// caller returns the state of a caller.
+func (q *queue) caller(id model.CallerID) *caller {
+	known := q.callers[id]
+	if known == nil {
+		known = &caller{}
+		q.callers[id] = known
+	}
+	return known
+}
+
+// prune forgets the callers that have not been seen for long, once there are
+// many.
+func (q *queue) prune(now time.Time) {
+	if len(q.callers) < q.pruneAt {
+		return
+	}
+	for id, known := range q.callers {
+		if known.waiting == 0 && now.Sub(known.usage.since) > pruneAge {
+			delete(q.callers, id)
+		}
+	}
+	q.pruneAt = max(pruneCount, 2*len(q.callers))
+}
+
+// -----------------------------------------------------------------------------
+// Entering and leaving the queue.
+
+// enter takes an item in; it waits to be classified.
+func (s *Scheduler) enter(now time.Time, q *queue, it *item) {
+	q.prune(now)
+	it.waiting = true
+	q.fresh = append(q.fresh, it)
+	q.waiting++
+	q.bytes += it.work.Bytes
+	q.caller(it.work.Caller).waiting++
+	q.backlog[s.access(it.work.Kind)].add(now, it)
+	s.waiting[it.work.Request] = it
+	heap.Push(&s.expiry, it)
+}
+
+// leave takes a waiting item out, to run or for good.
+func (s *Scheduler) leave(q *queue, it *item) {
+	it.waiting = false
+	if it.line != nil {
+		it.line.lane.remove(it)
+	}
+	q.waiting--
+	q.bytes -= it.work.Bytes
+	q.caller(it.work.Caller).waiting--
+	q.backlog[s.access(it.work.Kind)].remove(it)
+	delete(s.waiting, it.work.Request)
+	heap.Remove(&s.expiry, it.expiry)
+}
+
+// -----------------------------------------------------------------------------
+// Classification by set of databases.
+
+// classify puts fresh items into their lanes, and looks again at a bounded
+// number of those that wait.
+func (g *group) classify(q *queue, candidates Candidates) {
+	for _, it := range q.fresh {
+		if it.waiting {
+			g.place(q, it, g.maskOf(candidates(it.work)))
+			q.recheck = append(q.recheck, it)
+		}
+	}
+	clear(q.fresh)
+	q.fresh = q.fresh[:0]
+	for range min(rechecksPerGrant, len(q.recheck)) {
+		it := q.recheck[0]
+		q.recheck[0] = nil
+		q.recheck = q.recheck[1:]
+		if !it.waiting {
+			continue
+		}
+		g.place(q, it, g.maskOf(candidates(it.work)))
+		q.recheck = append(q.recheck, it)
+	}
+}
+
+// place puts an item into the lane of mask.
+func (g *group) place(q *queue, it *item, mask uint64) {
+	if it.line != nil {
+		if it.mask == mask {
+			return
+		}
+		it.line.lane.remove(it)
+	}
+	it.mask = mask
+	q.lane(mask).add(it, q.caller(it.work.Caller))
+}
+
+// -----------------------------------------------------------------------------
+// Pairing.
+
+// grantGroup pairs the waiting work of a group until nothing fits.
+func (s *Scheduler) grantGroup(now time.Time, g *group, candidates Candidates) {
+	for _, q := range g.queues {
+		if q.waiting > 0 {
+			g.classify(q, candidates)
+		}
+	}
+	for progress := true; progress; {
+		progress = false
+		for _, d := range g.databases {
+			if s.grantDatabase(now, d, candidates) {
+				progress = true
+			}
+		}
+	}
+}
+
+// grantDatabase starts one work that d may serve. It reports whether it did.
+func (s *Scheduler) grantDatabase(now time.Time, d *database, candidates Candidates) bool {
+	if !s.isFree(now, d) {
+		return false
+	}
+	s.order = d.ledger.order(now, s.floors, s.order)
+	for _, r := range s.order {
+		if s.grantRank(now, d, d.group.queues[r], candidates) {
+			return true
+		}
+	}
+	return false
+}
+
+// grantRank starts one work of a rank that d may serve. It reports whether it
+// did.
+func (s *Scheduler) grantRank(now time.Time, d *database, q *queue, candidates Candidates) bool {
+	if q.waiting == 0 || !s.allows(now, d, q.rank) {
+		return false
+	}
+	for range looksPerPick {
+		it := q.best(now, d.bit)
+		if it == nil {
+			return false
+		}
+		list := candidates(it.work)
+		mask := d.group.maskOf(list)
+		if mask != it.mask {
+			d.group.place(q, it, mask)
+			continue
+		}
+		s.start(now, q, it, s.preferred(now, d, q.rank, list))
+		return true
+	}
+	return false
+}
+
+// best returns the work that d's bit may serve next.
+func (q *queue) best(now time.Time, bit uint64) *item {
+	total := q.usage.at(now)
+	var best *item
+	for _, l := range q.lanes {
+		if l.mask&bit == 0 {
+			continue
+		}
+		head := l.head(now, total)
+		if head != nil && (best == nil || head.before(best)) {
+			best = head
+		}
+	}
+	return best
+}
+
+// preferred returns the first of list with a slot for the rank; d has one.
+func (s *Scheduler) preferred(now time.Time, d *database, r model.Rank, list []model.DatabaseID) *database {
+	for _, id := range list {
+		other := s.databases[id]
+		if other == d {
+			return d
+		}
+		if other != nil && other.group == d.group && s.isFree(now, other) && s.allows(now, other, r) {
+			return other
+		}
+	}
+	return d
+}
+
+// start lets a waiting item run on d.
+func (s *Scheduler) start(now time.Time, q *queue, it *item, d *database) {
+	s.leave(q, it)
+	it.started = now
+	it.database = d
+	s.running[it.work.Request] = it
+	d.ledger.start(now, q.rank)
+	s.charge(now, q, it, it.cost)
+	q.standing.note(now, now.Sub(it.work.Arrived), s.target(q.rank))
+	q.count.running++
+	s.grants = append(s.grants, Grant{Request: it.work.Request, Database: d.id})
+}
+
+// charge adds slot-time to the accounts of an item's caller and rank.
+func (s *Scheduler) charge(now time.Time, q *queue, it *item, slots time.Duration) {
+	q.caller(it.work.Caller).usage.add(now, slots)
+	q.usage.add(now, slots)
+	q.drain[s.access(it.work.Kind)].add(now, slots)
+}
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -17,7 +17,6 @@
 package rank
 
 import (
-	"sort"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
@@ -25,6 +24,10 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
+// defaultKind is the kind of work that names none, or one that the manifest
+// does not have.
+const defaultKind = "default"
+
 // Work is one request that wants a slot.
 type Work struct {
 	Request model.RequestID
@@ -35,6 +38,8 @@
 	Kind     string
 	Arrived  time.Time
 	Deadline time.Time
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int
 	// Transaction says that the slot is kept over several statements.
 	Transaction bool
 }
@@ -71,115 +76,264 @@
 
 // Scheduler orders the work of one instance.
 type Scheduler struct {
-	self    model.InstanceID
-	slots   int
-	waiting []Work
-	running map[model.RequestID]running
-	busy    map[model.DatabaseID]int
-}
-
-type running struct {
-	work     Work
-	database model.DatabaseID
+	self      model.InstanceID
+	limits    manifest.Limits
+	ranks     []manifest.Rank
+	floors    []float64
+	kinds     map[string]*kind
+	groups    map[model.GroupID]*group
+	sequence  []*group
+	databases map[model.DatabaseID]*database
+	waiting   map[model.RequestID]*item
+	running   map[model.RequestID]*item
+	expiry    deadlines
+	expired   []model.RequestID
+	grants    []Grant
+	order     []model.Rank
 }
 
 // NewScheduler returns a scheduler for the instance self. It takes no work
 // before Configure.
 func NewScheduler(self model.InstanceID) *Scheduler {
 	return &Scheduler{
-		self:    self,
-		running: map[model.RequestID]running{},
-		busy:    map[model.DatabaseID]int{},
+		self:      self,
+		kinds:     map[string]*kind{},
+		groups:    map[model.GroupID]*group{},
+		databases: map[model.DatabaseID]*database{},
+		waiting:   map[model.RequestID]*item{},
+		running:   map[model.RequestID]*item{},
+	}
+}
+
+// Configure puts a manifest's ranks and limits in force. Waiting and running
+// work stays; work of a group that is gone waits for its deadline.
+func (s *Scheduler) Configure(now time.Time, m *manifest.Manifest) {
+	s.limits = m.Limits
+	s.ranks = m.Ranks
+	s.configureKinds(m.Kinds)
+	count := max(len(m.Ranks), len(s.floors), 1)
+	s.floors = make([]float64, count)
+	for r, declared := range m.Ranks {
+		s.floors[r] = declared.Floor
+	}
+	known := s.databases
+	s.databases = map[model.DatabaseID]*database{}
+	s.sequence = nil
+	for _, g := range s.groups {
+		g.databases = nil
+	}
+	for _, declared := range m.Groups {
+		s.configureGroup(now, declared, known)
+	}
+	for _, g := range s.groups {
+		g.growQueues(count, m.Kinds)
+	}
+}
+
+func (s *Scheduler) configureKinds(kinds []manifest.Kind) {
+	known := s.kinds
+	s.kinds = map[string]*kind{}
+	for _, declared := range kinds {
+		k := known[declared.Name]
+		if k == nil {
+			k = &kind{}
+		}
+		k.access = declared.Access
+		s.kinds[declared.Name] = k
+	}
+	if s.kinds[defaultKind] == nil {
+		s.kinds[defaultKind] = &kind{access: model.AccessWrite}
+	}
+}
+
+func (s *Scheduler) configureGroup(now time.Time, declared manifest.Group, known map[model.DatabaseID]*database) {
+	g := s.groups[declared.Name]
+	if g == nil {
+		g = &group{id: declared.Name}
+		s.groups[declared.Name] = g
+	}
+	s.sequence = append(s.sequence, g)
+	for i, member := range declared.Databases {
+		d := known[member.Name]
+		if d == nil {
+			d = &database{id: member.Name}
+			d.ledger.since = now
+		}
+		d.group = g
+		d.bit = 1 << i
+		d.ledger.grow(len(s.floors))
+		g.databases = append(g.databases, d)
+		s.databases[d.id] = d
 	}
 }
 
-// Configure puts a manifest's ranks and limits in force.
-func (s *Scheduler) Configure(_ time.Time, m *manifest.Manifest) { s.slots = m.Limits.Slots }
+// growQueues makes a queue for each rank.
+func (g *group) growQueues(count int, kinds []manifest.Kind) {
+	for r := model.Rank(len(g.queues)); int(r) < count; r++ {
+		g.queues = append(g.queues, newQueue(r, widthOf(r, kinds)))
+	}
+}
+
+// widthOf returns the width of the buckets in which a rank's deadlines fall.
+func widthOf(r model.Rank, kinds []manifest.Kind) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range kinds {
+		if k.Rank == r {
+			longest = max(longest, k.Deadline)
+		}
+	}
+	if longest == 0 {
+		return defaultWidth
+	}
+	return max(longest*4/(3*bucketCount), time.Millisecond)
+}
 
 // SetPeers tells which instances are alive, this one included.
 func (s *Scheduler) SetPeers(time.Time, []model.InstanceID) {}
 
+// -----------------------------------------------------------------------------
+// What the manifest says.
+
+// kind returns what is known of a kind; an unknown name is the default.
+func (s *Scheduler) kind(name string) *kind {
+	if known := s.kinds[name]; known != nil {
+		return known
+	}
+	return s.kinds[defaultKind]
+}
+
+func (s *Scheduler) access(name string) model.Access { return s.kind(name).access }
+
+// target returns the target time of a rank, or 0.
+func (s *Scheduler) target(r model.Rank) time.Duration {
+	if int(r) < len(s.ranks) {
+		return s.ranks[r].Target
+	}
+	return 0
+}
+
+// queueOf returns the queue of a work.
+func (g *group) queueOf(work *Work) *queue {
+	return g.queues[min(max(int(work.Rank), 0), len(g.queues)-1)]
+}
+
+// -----------------------------------------------------------------------------
+// The queue.
+
 // Offer takes work into the queue, or refuses it at the door.
-func (s *Scheduler) Offer(_ time.Time, work Work) (Refusal, bool) {
-	s.waiting = append(s.waiting, work)
-	return Refusal{}, true
+func (s *Scheduler) Offer(now time.Time, work Work) (Refusal, bool) {
+	g := s.groups[work.Group]
+	if g == nil || len(g.databases) == 0 {
+		return Refusal{Why: message.RefuseUnknownGroup, Detail: string(work.Group)}, false
+	}
+	q := g.queueOf(&work)
+	cost := s.kind(work.Kind).cost(now)
+	refusal, ok := s.admit(now, g, q, &work, cost)
+	if ok {
+		s.enter(now, q, &item{work: work, cost: cost})
+	}
+	return refusal, ok
 }
 
 // Requeue puts a running request back into the queue for another attempt. It
 // keeps its place by arrival and is never refused.
 func (s *Scheduler) Requeue(now time.Time, request model.RequestID, ending Ending) {
-	entry, found := s.running[request]
-	if !found {
+	it := s.running[request]
+	if it == nil {
 		return
 	}
 	s.Finish(now, request, ending)
-	s.waiting = append(s.waiting, entry.work)
+	g := s.groups[it.work.Group]
+	s.enter(now, g.queueOf(&it.work), &item{work: it.work, cost: it.cost})
 }
 
 // Withdraw takes a request out of the queue. It reports whether it was there.
 func (s *Scheduler) Withdraw(request model.RequestID) bool {
-	for i, work := range s.waiting {
-		if work.Request == request {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return true
-		}
+	it := s.waiting[request]
+	if it == nil {
+		return false
 	}
-	return false
+	q := s.groups[it.work.Group].queueOf(&it.work)
+	s.leave(q, it)
+	q.count.withdrawn++
+	return true
 }
 
 // Expired takes out of the queue, and returns, what has passed its deadline.
 func (s *Scheduler) Expired(now time.Time) []model.RequestID {
-	var gone []model.RequestID
-	kept := s.waiting[:0]
-	for _, work := range s.waiting {
-		if now.Before(work.Deadline) {
-			kept = append(kept, work)
-			continue
-		}
-		gone = append(gone, work.Request)
-	}
-	s.waiting = kept
+	s.expire(now)
+	gone := s.expired
+	s.expired = nil
 	return gone
 }
 
-// Grant pairs waiting work with free slots.
-func (s *Scheduler) Grant(_ time.Time, candidates Candidates) []Grant {
-	var grants []Grant
-	sort.SliceStable(s.waiting, func(i, j int) bool { return s.waiting[i].Arrived.Before(s.waiting[j].Arrived) })
-	kept := s.waiting[:0]
-	for _, work := range s.waiting {
-		database, found := s.free(candidates(work))
-		if !found {
-			kept = append(kept, work)
-			continue
-		}
-		s.busy[database]++
-		s.running[work.Request] = running{work: work, database: database}
-		grants = append(grants, Grant{Request: work.Request, Database: database})
+// expire moves what has passed its deadline from the queue to s.expired.
+func (s *Scheduler) expire(now time.Time) {
+	for len(s.expiry) > 0 && !now.Before(s.expiry[0].work.Deadline) {
+		it := s.expiry[0]
+		q := s.groups[it.work.Group].queueOf(&it.work)
+		s.leave(q, it)
+		q.count.expired++
+		s.expired = append(s.expired, it.work.Request)
 	}
-	s.waiting = kept
-	return grants
 }
 
-func (s *Scheduler) free(databases []model.DatabaseID) (model.DatabaseID, bool) {
-	for _, database := range databases {
-		if s.busy[database] < s.slots {
-			return database, true
-		}
+// Grant pairs waiting work with free slots. It starts nothing that has passed
+// its deadline; Expired returns that.
+func (s *Scheduler) Grant(now time.Time, candidates Candidates) []Grant {
+	s.expire(now)
+	s.grants = nil
+	for _, g := range s.sequence {
+		s.grantGroup(now, g, candidates)
 	}
-	return "", false
+	return s.grants
 }
 
 // Finish gives the slot of a running request back.
-func (s *Scheduler) Finish(_ time.Time, request model.RequestID, _ Ending) {
-	entry, found := s.running[request]
-	if !found {
+func (s *Scheduler) Finish(now time.Time, request model.RequestID, ending Ending) {
+	it := s.running[request]
+	if it == nil {
 		return
 	}
 	delete(s.running, request)
-	s.busy[entry.database]--
+	q := s.groups[it.work.Group].queueOf(&it.work)
+	took := now.Sub(it.started)
+	it.database.ledger.stop(now, q.rank)
+	s.charge(now, q, it, took-it.cost)
+	q.count.running--
+	if ending.Failed {
+		q.count.failed++
+		return
+	}
+	s.kind(it.work.Kind).measure(now, took)
+	q.count.served++
+	if target := s.target(q.rank); target > 0 && now.Sub(it.work.Arrived) > target {
+		q.count.late++
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Slots.
+
+// isFree reports whether d has a slot for this instance.
+func (s *Scheduler) isFree(_ time.Time, d *database) bool {
+	return d.ledger.busy() < s.limits.Slots
 }
 
+// allows reports whether this instance may start work of a rank on d.
+func (s *Scheduler) allows(time.Time, *database, model.Rank) bool { return true }
+
+// slotsOf returns the slots that this instance may count on for an access.
+func (s *Scheduler) slotsOf(_ time.Time, g *group, a model.Access) float64 {
+	if a == model.AccessWrite {
+		return float64(s.limits.Slots)
+	}
+	return float64(s.limits.Slots * len(g.databases))
+}
+
+// -----------------------------------------------------------------------------
+// Peers.
+
 // Hear takes in a Demand or Permit of a peer.
 func (s *Scheduler) Hear(time.Time, model.InstanceID, message.PeerMessage) {}
 
