--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -204,7 +204,7 @@
 		if r.settleAsk != 0 || e.now.Before(r.settleAt) {
 			continue
 		}
-		if !r.group.isProven(e.now, proofAge) {
+		if !r.group.isProven(e.now) {
 			continue
 		}
 		e.askOutcome(r)
--- a/internal/core/engine/system_drain.go
+++ b/internal/core/engine/system_drain.go
@@ -56,7 +56,8 @@
 	}
 	took := e.now.Sub(e.drain.at)
 	idle := len(e.sessions) == 0 && len(e.requests.byID) == 0 && !e.isConducting()
-	if !(idle && took >= drainQuiet) && took < drainLimit {
+	quiet := idle && took >= drainQuiet
+	if !quiet && took < drainLimit {
 		return
 	}
 	e.drain.ended = true
--- a/internal/core/engine/system_manifest.go
+++ b/internal/core/engine/system_manifest.go
@@ -204,6 +204,14 @@
 	}
 }
 
+// connectionShare returns the number of connections that this instance may open
+// to each database.
+func (e *Engine) connectionShare() int {
+	limits := e.declared.current.Limits
+	sharers := len(e.instances.alive()) + 1
+	return max(1, (limits.Connections-limits.Reserve)/sharers)
+}
+
 // publishDatabases tells the edges which databases exist.
 func (e *Engine) publishDatabases() {
 	var targets []message.DatabaseTarget
@@ -211,7 +219,7 @@
 		for _, d := range g.databases {
 			targets = append(targets, message.DatabaseTarget{
 				Database: d.name, Group: g.name, Address: d.declared.Address,
-				Connections: e.scheduler.Connections(d.name), Leaving: d.isLeaving(),
+				Connections: e.connectionShare(), Leaving: d.isLeaving(),
 			})
 		}
 	}
--- a/internal/core/engine/system_member.go
+++ b/internal/core/engine/system_member.go
@@ -191,6 +191,9 @@
 	live := append(e.instances.alive(), e.options.Instance)
 	sort.Slice(live, func(i, j int) bool { return live[i] < live[j] })
 	e.scheduler.SetPeers(e.now, live)
+	if e.declared.current != nil {
+		e.publishDatabases()
+	}
 }
 
 // linkTargets returns the links to keep: the seeds while nobody else is known,
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -72,7 +72,7 @@
 func (e *Engine) writeCandidates(r *request) []model.DatabaseID {
 	g := r.group
 	r.why = message.RefuseNoPrimary
-	if !g.isProven(e.now, proofAge) || !g.primary.isUsable(e.now) {
+	if !g.isProven(e.now) || !g.primary.isUsable(e.now) {
 		return nil
 	}
 	r.why = message.RefuseDeadline
@@ -198,7 +198,7 @@
 // primaryForRead returns the primary where it may serve the read.
 func (e *Engine) primaryForRead(r *request) *database {
 	g := r.group
-	if g.primary == nil || !g.primary.isUsable(e.now) || !g.isProven(e.now, proofAge) {
+	if g.primary == nil || !g.primary.isUsable(e.now) || !g.isProven(e.now) {
 		return nil
 	}
 	return g.primary
--- a/internal/core/engine/system_steward.go
+++ b/internal/core/engine/system_steward.go
@@ -174,7 +174,7 @@
 // and write it where a group has none yet or it lags behind.
 func (e *Engine) checkRow(g *group) {
 	st := &g.steward
-	if e.stewardOrder(g) != 0 || !g.isProven(e.now, proofAge) {
+	if e.stewardOrder(g) != 0 || !g.isProven(e.now) {
 		return
 	}
 	if !st.checked.IsZero() && e.now.Sub(st.checked) < e.jitter(rowCheckInterval) {
--- a/internal/core/engine/table_group.go
+++ b/internal/core/engine/table_group.go
@@ -96,6 +96,9 @@
 	wanting time.Time
 	steward stewardState
 	logbook []Record
+	// logbookAsk and logbookAt are the last question for the records and its time.
+	logbookAsk uint64
+	logbookAt  time.Time
 }
 
 // heldAnswer is an answer of the primary that waits at the edge.
@@ -140,10 +143,11 @@
 	return proof, true
 }
 
-// isProven reports whether the term was proven at most age ago.
-func (g *group) isProven(now time.Time, age time.Duration) bool {
+// isProven reports whether the proof of the term is fresh enough to send work
+// under it.
+func (g *group) isProven(now time.Time) bool {
 	at, found := g.provenAt()
-	return found && now.Sub(at) <= age
+	return found && now.Sub(at) <= proofAge
 }
 
 // provenPosition returns the newest position of the term that a majority holds.
@@ -207,13 +211,3 @@
 	}
 	return g.samples[i], true
 }
-
-// database returns the group's database of that name.
-func (g *group) database(name model.DatabaseID) (*database, bool) {
-	for _, d := range g.databases {
-		if d.name == name {
-			return d, true
-		}
-	}
-	return nil, false
-}
