Test the core on virtual time; keep an isolated primary from being chosen again

Cause: cut off from its replicas alone, the primary stayed reachable, was fenced among the majority, held the longest log and was promoted again, for ever. Ruled out: lost evidence (the claim was made each time). Change: the replaced primary and leaving databases are chosen only where the others are no majority by themselves.

--- /dev/null
+++ b/internal/core/engine/fake_caller_test.go
@@ -0,0 +1,288 @@
+package engine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// result is what a caller got for a request.
+type result string
+
+const (
+	resultNone    result = "no answer"
+	resultDone    result = "done"
+	resultNotRun  result = "not run"
+	resultFailed  result = "failed, nothing committed"
+	resultUnknown result = "outcome unknown"
+	resultCut     result = "connection lost"
+)
+
+// fakeCaller is one request of one session, and what came of it.
+type fakeCaller struct {
+	node    *node
+	session model.SessionID
+	request model.RequestID
+	kind    string
+	// value is what a write appends.
+	value string
+	// saw is what a read returned: the values of the log, in order.
+	saw      []string
+	result   result
+	why      string
+	token    model.Token
+	position model.Position
+	began    time.Time
+	ended    time.Time
+	attempts int
+	// transaction runs the work in three exchanges: BEGIN, the write, COMMIT.
+	transaction bool
+}
+
+// attempt is what the fake edge runs for one dispatch.
+type attempt struct {
+	dispatch message.Dispatch
+	caller   *fakeCaller
+	step     string
+	held     model.Position
+	rows     []string
+	ended    bool
+	answer   message.Answer
+}
+
+var lastSession model.SessionID
+
+// call opens a session at an instance and sends one request.
+func (w *world) call(n *node, kind, value string, token model.Token) *fakeCaller {
+	lastSession++
+	c := &fakeCaller{
+		node: n, session: lastSession, request: model.RequestID(lastSession), kind: kind, value: value,
+		result: resultNone, began: w.now,
+	}
+	w.callers = append(w.callers, c)
+	n.callers[c.request] = c
+	n.post(message.SessionOpened{Session: c.session, Group: "ratings", Caller: "officer", Position: token.Position})
+	n.post(message.RequestArrived{
+		Request: c.request, Session: c.session, Kind: kind, Key: fmt.Sprintf("%s-%d", n.name, c.request),
+	})
+	return c
+}
+
+// begin opens a session and sends a transaction that appends a value.
+func (w *world) begin(n *node, value string) *fakeCaller {
+	lastSession++
+	c := &fakeCaller{
+		node: n, session: lastSession, request: model.RequestID(lastSession), kind: "post", value: value,
+		result: resultNone, began: w.now, transaction: true,
+	}
+	w.callers = append(w.callers, c)
+	n.callers[c.request] = c
+	n.post(message.SessionOpened{Session: c.session, Group: "ratings", Caller: "officer"})
+	n.post(message.RequestArrived{
+		Request: c.request, Session: c.session, Kind: "post", Key: fmt.Sprintf("%s-%d", n.name, c.request), Transaction: true,
+	})
+	return c
+}
+
+func (c *fakeCaller) end(r result, why string) {
+	if c.result != resultNone {
+		c.node.world.t.Errorf("%s of %s ended twice: %s, then %s", c.kind, c.value, c.result, r)
+		return
+	}
+	c.result, c.why, c.ended = r, why, c.node.world.now
+	c.node.post(message.SessionClosed{Session: c.session})
+}
+
+// -----------------------------------------------------------------------------
+// The fake of the caller edge and the data connections.
+
+func (n *node) actCaller(action message.Action) {
+	switch a := action.(type) {
+	case message.Dispatch:
+		n.dispatch(a)
+	case message.Proven:
+		n.proven = a.Position
+	case message.Release:
+		if run := n.running[a.Request]; run != nil && run.dispatch.Attempt == a.Attempt && !run.ended {
+			n.pass(run)
+		}
+	case message.Acknowledge:
+		if c := n.callers[a.Request]; c != nil {
+			c.token = a.Token
+			c.end(resultDone, "")
+		}
+	case message.Refuse:
+		if c := n.callers[a.Request]; c != nil {
+			c.end(resultNotRun, a.Why.String())
+		}
+	case message.Abandon:
+		if c := n.callers[a.Request]; c != nil && a.Unknown {
+			c.end(resultUnknown, a.Why)
+		} else if c != nil {
+			c.end(resultFailed, a.Why)
+		}
+	case message.Drop:
+		if run := n.running[a.Request]; run != nil && run.dispatch.Attempt == a.Attempt {
+			n.finish(run, message.AnswerLost{Committing: run.isCommitting()})
+		}
+	}
+}
+
+func (a *attempt) isCommitting() bool {
+	if a.caller.kind != "post" {
+		return false
+	}
+	return !a.caller.transaction || a.step == "commit"
+}
+
+// finish ends an attempt towards the engine, once.
+func (n *node) finish(run *attempt, answer message.Answer) {
+	if run.ended {
+		return
+	}
+	run.ended = true
+	n.post(message.AnswerEnded{Request: run.dispatch.Request, Attempt: run.dispatch.Attempt, Answer: answer, Elapsed: workTime})
+}
+
+func (n *node) dispatch(a message.Dispatch) {
+	w := n.world
+	c := n.callers[a.Request]
+	if c == nil {
+		return
+	}
+	c.attempts++
+	run := &attempt{dispatch: a, caller: c, step: "work"}
+	n.running[a.Request] = run
+	w.after(a.Expires.Sub(w.now)+tick, func() { n.finish(run, message.AnswerLost{Committing: run.isCommitting()}) })
+	if c.transaction {
+		run.step = "begin"
+		n.statement(run, func() { n.statement(run, func() { n.commitWork(run) }) })
+		return
+	}
+	n.commitWork(run)
+}
+
+// statement runs a statement of an open transaction that commits nothing.
+func (n *node) statement(run *attempt, next func()) {
+	n.roundTrip(run, func(d *fakeDatabase) func() {
+		if refused := d.refuses(run); refused != nil {
+			return func() { n.refused(run, refused) }
+		}
+		return func() {
+			run.step = "open"
+			next()
+		}
+	})
+}
+
+func (n *node) refused(run *attempt, answer message.Answer) {
+	if run.step == "open" {
+		answer = message.AnswerLost{}
+	}
+	n.finish(run, answer)
+}
+
+// commitWork runs the statement, or the COMMIT, that may commit.
+func (n *node) commitWork(run *attempt) {
+	if run.caller.transaction {
+		run.step = "commit"
+	}
+	n.roundTrip(run, func(d *fakeDatabase) func() {
+		if refused := d.refuses(run); refused != nil {
+			return func() { n.finish(run, refused) }
+		}
+		if run.dispatch.Access == model.AccessWrite {
+			position, ok := d.commit(run.dispatch.Key, run.caller.value, false)
+			if !ok {
+				return func() { n.finish(run, message.AnswerRefused{Why: message.RefusedDuplicate}) }
+			}
+			return func() { n.finish(run, message.AnswerCommitted{Position: position}) }
+		}
+		position := d.applied()
+		var rows []string
+		for _, e := range d.appliedLog() {
+			if !e.never && e.key != "" {
+				rows = append(rows, e.value)
+			}
+		}
+		return func() { n.rows(run, position, rows) }
+	})
+}
+
+// refuses tells why a database does not run the work.
+func (d *fakeDatabase) refuses(run *attempt) message.Answer {
+	switch {
+	case d.term != run.dispatch.Term:
+		return message.AnswerRefused{Why: message.RefusedTerm}
+	case run.dispatch.Access == model.AccessWrite && d.role != model.RolePrimary:
+		return message.AnswerRefused{Why: message.RefusedReadOnly}
+	}
+	return nil
+}
+
+// roundTrip carries work to the database and the answer back. A connection to
+// a dead database is refused; work on its way when the database dies is lost.
+func (n *node) roundTrip(run *attempt, serve func(d *fakeDatabase) func()) {
+	w := n.world
+	d := w.database(run.dispatch.Database)
+	if d.dead && run.step != "open" && run.step != "commit" {
+		w.after(linkTime, func() { n.finish(run, message.AnswerRefused{Why: message.RefusedUnreachable}) })
+		return
+	}
+	w.after(linkTime+workTime, func() {
+		if d.dead {
+			n.finish(run, message.AnswerLost{Committing: run.isCommitting()})
+			return
+		}
+		if run.ended || !w.linked(n.name, string(d.name)) || d.mute[n.name] {
+			n.suspect(run, d)
+			return
+		}
+		d.do(func() {
+			answer := serve(d)
+			w.after(linkTime, func() {
+				switch {
+				case n.dead || run.ended:
+				case d.dead:
+					n.finish(run, message.AnswerLost{Committing: run.isCommitting()})
+				case w.linked(n.name, string(d.name)) && !d.mute[n.name]:
+					answer()
+				default:
+					n.suspect(run, d)
+				}
+			})
+		})
+	})
+}
+
+// suspect stands for the check of a silent connection by a new one.
+func (n *node) suspect(run *attempt, d *fakeDatabase) {
+	n.world.after(run.dispatch.Suspect, func() {
+		if d.mute[n.name] && !d.dead && !d.frozen {
+			delete(d.mute, n.name)
+			n.finish(run, message.AnswerLost{Committing: run.isCommitting(), Silent: true})
+		}
+	})
+}
+
+// rows checks the answer's position before the first row goes to the caller.
+func (n *node) rows(run *attempt, position model.Position, rows []string) {
+	if position.Less(run.dispatch.Minimum) {
+		n.finish(run, message.AnswerBehind{Position: position})
+		return
+	}
+	run.held, run.rows = position, rows
+	if !run.dispatch.Gated || position.IsZero() || position.Term == n.proven.Term && !n.proven.Less(position) {
+		n.pass(run)
+		return
+	}
+	n.post(message.AnswerHeld{Request: run.dispatch.Request, Attempt: run.dispatch.Attempt, Position: position})
+}
+
+func (n *node) pass(run *attempt) {
+	run.caller.saw, run.caller.position = run.rows, run.held
+	n.finish(run, message.AnswerRead{Position: run.held})
+	run.caller.end(resultDone, string(run.dispatch.Database))
+}
--- a/internal/core/engine/system_steward.go
+++ b/internal/core/engine/system_steward.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
@@ -471,9 +470,9 @@
 }
 
 // chooseFenced returns the fenced database with the longest log, once a
-// majority is fenced. Databases that stay are preferred: where they are a
-// majority by themselves, they hold all that is proven. Among equals, another
-// database than the replaced primary goes first.
+// majority is fenced. Databases that stay, the replaced primary not among them,
+// are preferred: where they are a majority by themselves, they hold all that is
+// proven. Its longer log must not bring an isolated primary back.
 func (e *Engine) chooseFenced(g *group) (*database, bool) {
 	st := &g.steward
 	var staying, all []*database
@@ -482,30 +481,28 @@
 			continue
 		}
 		all = append(all, d)
-		if !d.isLeaving() {
+		if !d.isLeaving() && d.name != st.before {
 			staying = append(staying, d)
 		}
 	}
 	if len(staying) >= g.majority() {
-		return e.longestLog(g, staying), true
+		return g.longestLog(staying), true
 	}
 	if len(all) < g.majority() || len(staying) < len(all) && e.now.Sub(st.claimed) < leavingGrace {
 		return nil, false
 	}
-	return e.longestLog(g, all), true
+	return g.longestLog(all), true
 }
 
 // longestLog returns the database with the newest received position.
-func (e *Engine) longestLog(g *group, list []*database) *database {
-	st := &g.steward
-	sort.SliceStable(list, func(i, j int) bool {
-		a, b := st.fenced[list[i].name].Received, st.fenced[list[j].name].Received
-		if a != b {
-			return b.Less(a)
+func (g *group) longestLog(list []*database) *database {
+	longest := list[0]
+	for _, d := range list[1:] {
+		if g.steward.fenced[longest.name].Received.Less(g.steward.fenced[d.name].Received) {
+			longest = d
 		}
-		return list[i].name != st.before && list[j].name == st.before
-	})
-	return list[0]
+	}
+	return longest
 }
 
 // promoteChosen asks the chosen database to reign.
