Run the control systems once a tick, not at every request

Cause: probes, membership and stewards were walked, with sorted copies, at each event of a caller. Change: they run when something other than a request arrived, else every 5 ms; an idle session holds no map.

--- a/internal/core/engine/constants.go
+++ b/internal/core/engine/constants.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// controlInterval is the least time between two runs of the control systems
+// while only requests arrive.
+const controlInterval = 5 * time.Millisecond
+
 // -----------------------------------------------------------------------------
 // Databases.
 
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -15,16 +15,19 @@
 // order, once a step:
 //
 //	events ─> intake     each event changes the table that it speaks of
-//	          manifest   poll, adopt, submit
-//	          member     heartbeats, who is alive, which links to keep
-//	          watch      probes, terms, proofs, samples of positions
+//	          manifest   poll, adopt, submit                       (control)
+//	          member     heartbeats, who is alive, links to keep   (control)
+//	          watch      probes, terms, samples of positions       (control)
+//	          steward    failed primaries, promotion, repair       (control)
 //	          prove      held answers and commits whose position is proven
 //	          settle     commits whose outcome is not known
-//	          steward    detection of failed primaries, promotion, repair
 //	          schedule   deadlines, grants, dispatches
 //	          drain      leaving in order
 //	       ─> actions
 //
+// The control systems run once a tick and whenever something other than a
+// request has arrived.
+//
 // # Why it is safe
 //
 // A position of term T is proven once a majority of the group, each still in
@@ -82,6 +85,10 @@
 	lastAsk   uint64
 	lastNonce uint64
 	draws     uint64
+	// learned says that something other than a request has arrived since the
+	// control systems ran at controlled.
+	learned    bool
+	controlled time.Time
 }
 
 // NewEngine returns the state of an instance that has no manifest yet.
@@ -105,17 +112,28 @@
 	for _, incoming := range events {
 		e.take(incoming)
 	}
-	e.runManifest()
-	e.runMember()
-	e.runWatch()
+	if e.isControlDue() {
+		e.controlled = now
+		e.learned = false
+		e.runManifest()
+		e.runMember()
+		e.runWatch()
+		e.runSteward()
+	}
 	e.runProve()
 	e.runSettle()
-	e.runSteward()
 	e.runSchedule()
 	e.runDrain()
 	return e.out
 }
 
+// isControlDue reports whether the systems that do not serve requests shall run
+// in this step: at once when something was learnt, else once a tick, so that
+// their cost does not grow with the number of requests.
+func (e *Engine) isControlDue() bool {
+	return e.learned || e.now.Sub(e.controlled) >= controlInterval
+}
+
 // take lets one event change the table that it speaks of.
 func (e *Engine) take(incoming message.Event) {
 	switch incoming := incoming.(type) {
@@ -125,6 +143,15 @@
 		e.takeHeld(incoming)
 	case message.AnswerEnded:
 		e.takeAnswer(incoming)
+	default:
+		e.learned = true
+		e.takeControl(incoming)
+	}
+}
+
+// takeControl lets an event that belongs to no request change its tables.
+func (e *Engine) takeControl(incoming message.Event) {
+	switch incoming := incoming.(type) {
 	case message.DatabaseAnswered:
 		e.takeStatus(incoming)
 	case message.SettleAnswered:
--- a/internal/core/engine/system_session.go
+++ b/internal/core/engine/system_session.go
@@ -29,7 +29,6 @@
 		floorAt:  e.now,
 		anchored: !opened.Position.IsZero(),
 		roaming:  opened.Roaming,
-		requests: map[model.RequestID]*request{},
 	}
 }
 
@@ -75,6 +74,9 @@
 		return
 	}
 	e.requests.byID[r.id] = r
+	if s.requests == nil {
+		s.requests = map[model.RequestID]*request{}
+	}
 	s.requests[r.id] = r
 }
 
@@ -179,6 +181,9 @@
 	delete(r.group.held, r.id)
 	delete(r.group.proving, r.id)
 	delete(r.session.requests, r.id)
+	if len(r.session.requests) == 0 {
+		r.session.requests = nil
+	}
 }
 
 // free gives back the slot of a running request.
--- a/internal/core/engine/table_request.go
+++ b/internal/core/engine/table_request.go
@@ -28,6 +28,8 @@
 	// connected: it handed a token, or a barrier has been passed.
 	anchored bool
 	roaming  bool
+	// requests are the session's open ones; nil while there is none, so that an
+	// idle session is small.
 	requests map[model.RequestID]*request
 }
 
--- a/internal/core/engine/world_test.go
+++ b/internal/core/engine/world_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"sort"
-	"strings"
 	"testing"
 	"time"
 
@@ -390,14 +389,3 @@
 	}
 	n.world.notes = append(n.world.notes, fmt.Sprintf("%s %s", n.world.now.Format("05.000"), line))
 }
-
-// notesWith returns the kept log lines that hold a text.
-func (w *world) notesWith(text string) []string {
-	var found []string
-	for _, line := range w.notes {
-		if strings.Contains(line, text) {
-			found = append(found, line)
-		}
-	}
-	return found
-}
