Pool the data connections towards the databases

Cause: opening a connection takes about 12 ms, and few are allowed. Change: package database keeps a bounded number of connections to each database. A connection is looked at before it goes out (one system call), and answers an empty query first where it was idle for more than 3 s; what is found broken there is proof that the work was not sent.

--- /dev/null
+++ b/internal/edge/database/conn.go
@@ -0,0 +1,128 @@
+package database
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/postgres"
+)
+
+// Conn is a data connection to a database. It belongs to the pool while it is
+// idle, and to one holder from Acquire to Release or Discard.
+type Conn struct {
+	// Database is the database at the other end.
+	Database model.DatabaseID
+	// Reader cuts the database's answers into frames.
+	Reader *postgres.Reader
+	// State tells what the connection's server side remembers.
+	State State
+
+	net     net.Conn
+	subpool *subpool
+	process uint32
+	secret  []byte
+	idle    time.Time
+	tainted bool
+}
+
+// State is what the server side of a connection remembers. Its holder keeps it
+// up to date; the pool only carries it.
+type State struct {
+	// Work is the value of the setting group_work.
+	Work string
+	// Reads says that the setting group_read is on.
+	Reads bool
+	// Prepared holds the names of the prepared statements.
+	Prepared map[string]struct{}
+	// Owner numbers the session whose settings or other state the
+	// connection carries; zero where it carries none.
+	Owner uint64
+	// Version numbers the state of the owner's settings.
+	Version uint64
+	// Dirty says that the connection has to be reset before it serves
+	// another session than Owner.
+	Dirty bool
+}
+
+// Write sends b whole, or fails within timeout. It returns how many bytes the
+// system has taken: with none, nothing was sent.
+func (c *Conn) Write(b []byte, timeout time.Duration) (int, error) {
+	err := c.net.SetWriteDeadline(time.Now().Add(timeout))
+	if err != nil {
+		return 0, err
+	}
+	return c.net.Write(b)
+}
+
+// SetReadDeadline bounds the reads of Reader. It may be called from any
+// goroutine and takes effect on a read that is waiting.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.net.SetReadDeadline(t) }
+
+// Taint marks the connection as one that must not be used again after its
+// present statement, such as one that a cancel request was sent for: the
+// request might arrive late and hit the next statement.
+func (c *Conn) Taint() { c.tainted = true }
+
+// IsTainted reports whether Taint was called.
+func (c *Conn) IsTainted() bool { return c.tainted }
+
+// Close closes the connection without a word.
+func (c *Conn) close() {
+	_ = c.net.Close()
+	c.Reader.Close()
+}
+
+// terminate closes the connection as the protocol asks for.
+func (c *Conn) terminate() {
+	message, _ := (&pgproto3.Terminate{}).Encode(nil)
+	_ = c.net.SetWriteDeadline(time.Now().Add(terminateTimeout))
+	_, _ = c.net.Write(message)
+	c.close()
+}
+
+// isQuiet reports whether the connection is open and the database has sent
+// nothing unasked, as far as this end of it knows. It costs one system call.
+func (c *Conn) isQuiet() bool {
+	if c.Reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	var b [1]byte
+	err = control.Read(func(fd uintptr) bool {
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && peeked == syscall.EAGAIN
+}
+
+// answers reports whether the connection answers an empty query within
+// timeout.
+func (c *Conn) answers(timeout time.Duration) bool {
+	message, _ := (&pgproto3.Query{}).Encode(nil)
+	_, err := c.Write(message, timeout)
+	if err != nil {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	for {
+		frame, err := c.Reader.Next()
+		if err != nil || frame.Type == 'E' {
+			return false
+		}
+		if frame.Type == 'Z' {
+			return true
+		}
+	}
+}
