Serve callers: simple and extended query, transactions, held answers

Cause: the edge towards callers was missing. Change: package caller takes sessions, tells the core of each request, sends the caller's messages behind the settings of the databases' protocol in one write, and relays the answer from the session's own goroutine. Answers wait for the proof of their position, commits for Acknowledge. Ruled out: pipelining SETs of the caller ahead of its work; the work would run even where a SET is refused, so those are replayed in a round trip of their own, and only where the connection lacks them.

--- /dev/null
+++ b/internal/edge/caller/relay.go
@@ -0,0 +1,355 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/postgres"
+)
+
+const (
+	// holdLimit bounds an answer that waits for the proof of its position, in
+	// bytes. Beyond it the database is not read any further.
+	holdLimit = 4 << 20
+	// writeHold is what is held back of the proven answer to a write, in
+	// bytes, so that the write can be run again where its connection breaks.
+	writeHold = 64 << 10
+	// flushSize is the size at which rows are sent on, in bytes.
+	flushSize = 32 << 10
+)
+
+// The parameters of the databases' protocol.
+const (
+	groupPrefix    = "group_"
+	groupPosition  = "group_position"
+	groupCommit    = "group_commit"
+	tokenParameter = "eelgrassfold.token"
+)
+
+// result is how an exchange ended.
+type result interface{ isResult() }
+
+// resultWhole: the answer was read to its end; what is left of it waits in the
+// workspace, without the ReadyForQuery.
+type resultWhole struct {
+	// commit is the position of a commit, or zero.
+	commit model.Position
+	// failure is the last error in the answer, or nil.
+	failure *pgproto3.ErrorResponse
+	// unproven says that the answer has to wait for the proof of its position.
+	unproven bool
+}
+
+// resultLost: the connection broke, or was given up.
+type resultLost struct{ silent bool }
+
+// resultRefused: the database proved that it did not run the work.
+type resultRefused struct{ why message.RefusedWhy }
+
+// resultBehind: the database's state is older than was asked for.
+type resultBehind struct{}
+
+// resultStopped: the core or the edge ended the exchange with an error for the
+// caller.
+type resultStopped struct{ problem *problem }
+
+// resultUnread: the caller does not take its answer.
+type resultUnread struct{ cause error }
+
+func (resultWhole) isResult()   {}
+func (resultLost) isResult()    {}
+func (resultRefused) isResult() {}
+func (resultBehind) isResult()  {}
+func (resultStopped) isResult() {}
+func (resultUnread) isResult()  {}
+
+// relay passes one answer from a backend connection to the caller.
+type relay struct {
+	s *session
+	r *request
+	b *batch
+	o *outgoing
+
+	times timers
+	// preludeFailed says that a query of the proxy's own failed.
+	preludeFailed bool
+	// known says that the answer has shown its position.
+	known bool
+	// behind says that the position is older than was asked for.
+	behind bool
+	// streaming says that frames go to the caller as they come.
+	streaming bool
+	commit    model.Position
+	failure   *pgproto3.ErrorResponse
+	// refusal is the database's proof that nothing ran, or nil.
+	refusal *resultRefused
+	// copying says that a COPY is being turned down.
+	copying bool
+}
+
+func newRelay(s *session, r *request, b *batch) *relay {
+	return &relay{s: s, r: r, b: b, o: &s.work.outgoing}
+}
+
+// run reads the answer to its ReadyForQuery.
+func (y *relay) run(ctx context.Context) result {
+	y.begin(time.Now())
+	for {
+		frame, end := y.receive(ctx)
+		if end != nil {
+			return end
+		}
+		if y.o.preludes > 0 {
+			y.takePrelude(frame)
+			continue
+		}
+		if frame.Type == 'Z' {
+			return y.finish(frame)
+		}
+		end = y.take(ctx, frame)
+		if end != nil {
+			return end
+		}
+	}
+}
+
+// takePrelude swallows the answers to the proxy's own queries.
+func (y *relay) takePrelude(frame postgres.Frame) {
+	switch frame.Type {
+	case 'Z':
+		y.o.preludes--
+	case 'E':
+		y.preludeFailed = true
+	}
+}
+
+// take acts on one frame of the caller's answer.
+func (y *relay) take(ctx context.Context, frame postgres.Frame) result {
+	switch frame.Type {
+	case 'S':
+		return y.takeParameter(ctx, frame)
+	case 'E':
+		y.takeError(frame)
+	case '1':
+		if y.takeParsed() {
+			return nil
+		}
+		y.pass(frame)
+	case '3':
+		if y.takeClosed() {
+			return nil
+		}
+		y.pass(frame)
+	case 'G', 'H', 'W':
+		return y.takeCopy(frame)
+	case 'd', 'c', 'A':
+		return nil
+	default:
+		y.pass(frame)
+	}
+	return y.moveOn(ctx)
+}
+
+func (y *relay) pass(frame postgres.Frame) {
+	if !y.behind && !y.copying {
+		y.s.work.out = append(y.s.work.out, frame.Raw...)
+	}
+}
+
+// takeParsed notes that a statement is prepared, and reports whether the caller
+// did not ask for it.
+func (y *relay) takeParsed() bool {
+	if len(y.o.parses) == 0 {
+		return false
+	}
+	one := y.o.parses[0]
+	y.o.parses = y.o.parses[1:]
+	if one.statement.backend != "" {
+		y.r.conn.State.Prepared[one.statement.backend] = struct{}{}
+	}
+	if !one.swallow {
+		y.s.statements.put(one.statement)
+	}
+	return one.swallow
+}
+
+func (y *relay) takeClosed() bool {
+	if len(y.o.closes) == 0 {
+		return false
+	}
+	one := y.o.closes[0]
+	y.o.closes = y.o.closes[1:]
+	if one.statement != nil {
+		y.s.statements.drop(one.statement.name)
+	}
+	return one.swallow
+}
+
+// takeParameter acts on the parameters of the databases' protocol and passes on
+// the others.
+func (y *relay) takeParameter(ctx context.Context, frame postgres.Frame) result {
+	name, rest, ok := cutString(frame.Body())
+	if !ok {
+		return resultLost{}
+	}
+	switch string(name) {
+	case groupPosition, groupCommit:
+		value, _, _ := cutString(rest)
+		position, err := model.ParsePosition(string(value))
+		if err != nil {
+			return resultLost{}
+		}
+		return y.takePosition(ctx, position, string(name) == groupCommit)
+	}
+	if len(name) < len(groupPrefix) || string(name[:len(groupPrefix)]) != groupPrefix {
+		y.pass(frame)
+	}
+	return nil
+}
+
+func (y *relay) takePosition(ctx context.Context, position model.Position, commit bool) result {
+	if y.streaming {
+		// What came before was of a state that is proven.
+		err := y.s.flush()
+		if err != nil {
+			return resultUnread{cause: err}
+		}
+		y.r.passed = true
+		y.streaming = false
+	}
+	y.known = true
+	y.r.position = y.r.position.Max(position)
+	if commit {
+		y.commit = y.commit.Max(position)
+		return nil
+	}
+	if position.Less(y.r.dispatch.Minimum) {
+		return y.takeBehind()
+	}
+	return y.moveOn(ctx)
+}
+
+// takeBehind acts on a state that is too old for the caller. Where nothing was
+// passed on, the work can be run elsewhere.
+func (y *relay) takeBehind() result {
+	if y.r.passed || !y.r.first {
+		return resultStopped{problem: problemBehind}
+	}
+	y.behind = y.r.dispatch.Access == model.AccessRead
+	if !y.behind {
+		// A primary of the right term that lacks what the group has proven
+		// can't be trusted with a write; its outcome has to be settled.
+		return resultLost{}
+	}
+	return nil
+}
+
+// takeError acts on an error of the database.
+func (y *relay) takeError(frame postgres.Frame) {
+	var response pgproto3.ErrorResponse
+	if response.Decode(frame.Body()) != nil {
+		return
+	}
+	y.failure = &response
+	// After an error the database skips the rest of an extended batch.
+	y.o.parses = nil
+	y.o.closes = nil
+	if y.copying {
+		y.s.say(problemCopy)
+		y.r.state = problemCopy.state
+		return
+	}
+	why, ours := y.refusedWhy(response.Code)
+	if !ours {
+		y.r.state = response.Code
+		y.pass(frame)
+		return
+	}
+	if y.r.first && !y.r.passed {
+		y.refusal = &resultRefused{why: why}
+	}
+	p := y.rewritten(response)
+	y.r.state = p.state
+	y.s.say(p)
+}
+
+// refusedWhy tells whether an error is a word between database and proxy.
+func (y *relay) refusedWhy(state string) (message.RefusedWhy, bool) {
+	switch state {
+	case stateTerm:
+		return message.RefusedTerm, true
+	case stateDuplicate:
+		return message.RefusedDuplicate, true
+	case stateReadOnly:
+		return message.RefusedReadOnly, y.r.dispatch.Access == model.AccessWrite
+	}
+	return 0, false
+}
+
+// rewritten returns what the caller gets for such an error where the work can't
+// be run elsewhere any more.
+func (y *relay) rewritten(response pgproto3.ErrorResponse) *problem {
+	if response.Code == stateDuplicate && y.r.ownKey {
+		p := refusals[message.RefuseDuplicate]
+		return p.with(response.Message)
+	}
+	return problemFenced.with(response.Message)
+}
+
+// takeCopy turns a COPY down without losing the protocol's step.
+func (y *relay) takeCopy(frame postgres.Frame) result {
+	y.copying = true
+	y.r.conn.Taint()
+	if frame.Type != 'G' {
+		return resultStopped{problem: problemCopy}
+	}
+	refusal, _ := (&pgproto3.CopyFail{Message: "COPY is not supported"}).Encode(nil)
+	if y.b.extended {
+		// The Sync of the batch was swallowed by the copy mode.
+		refusal, _ = (&pgproto3.Sync{}).Encode(refusal)
+	}
+	_, err := y.r.conn.Write(refusal, sendTimeout)
+	if err != nil {
+		return resultLost{}
+	}
+	return nil
+}
+
+// finish judges the whole answer.
+func (y *relay) finish(frame postgres.Frame) result {
+	body := frame.Body()
+	if len(body) != 1 {
+		return resultLost{}
+	}
+	y.r.status = body[0]
+	y.copying = false
+	if y.preludeFailed {
+		return y.finishUnsure()
+	}
+	if y.commit.IsZero() && y.refusal != nil {
+		return *y.refusal
+	}
+	if y.commit.IsZero() && y.behind {
+		return resultBehind{}
+	}
+	return resultWhole{
+		commit:   y.commit,
+		failure:  y.failure,
+		unproven: len(y.s.work.out) > 0 && !y.mayPass(),
+	}
+}
+
+// finishUnsure judges an answer that came although a query of the proxy's own
+// had failed: unless the database refused the work as well, it may have run
+// without the guard of a term.
+func (y *relay) finishUnsure() result {
+	if y.refusal != nil && y.commit.IsZero() {
+		y.r.conn.Taint()
+		return *y.refusal
+	}
+	return resultLost{}
+}
--- /dev/null
+++ b/internal/edge/caller/request.go
@@ -0,0 +1,220 @@
+package caller
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/database"
+)
+
+// watchDelay is the time after which the caller's connection is watched while
+// its request waits or runs.
+const watchDelay = 20 * time.Millisecond
+
+// request is one unit of work on its way.
+type request struct {
+	id       model.RequestID
+	attempt  model.Attempt
+	dispatch message.Dispatch
+	// ownKey says that the caller gave the key itself.
+	ownKey bool
+	// conn is the backend connection, from the attempt's start until the
+	// answer is read to its end outside of a transaction.
+	conn *database.Conn
+	// first says that the batch which opened the request is running.
+	first bool
+	// passed says that a part of an answer has gone to the caller.
+	passed bool
+	// status is that of the last ReadyForQuery.
+	status byte
+	// sent is when the attempt was sent, opened the time that opening a
+	// connection took.
+	sent   time.Time
+	opened time.Duration
+	// position is the newest that an answer has shown.
+	position model.Position
+	// state is the SQLSTATE of the last error in an answer.
+	state string
+	// canceled says that the core was told of the caller's withdrawal.
+	canceled bool
+	// cancel is closed when a cancel request to the database has ended; nil
+	// where none was sent.
+	cancel chan struct{}
+}
+
+// arrive tells the core of a new request.
+func (s *session) arrive(b *batch) *request {
+	h := b.hint.over(s.hint)
+	id := s.edge.register(s)
+	r := &request{id: id, first: true, status: statusIdle, ownKey: h.key != ""}
+	s.current.Store(uint64(id))
+	key := h.key
+	if key == "" {
+		key = s.edge.options.Key + "-" + strconv.FormatUint(uint64(id), 10)
+	}
+	requests.Add(1)
+	s.edge.sink.Post(message.RequestArrived{
+		Request:     id,
+		Session:     s.id,
+		Kind:        h.kind,
+		Key:         key,
+		Transaction: b.runs() && b.traits.opensTransaction(),
+		Position:    h.token.Position,
+		Deadline:    h.deadline,
+	})
+	return r
+}
+
+// ended tells the core how the attempt ended.
+func (s *session) ended(r *request, answer message.Answer) {
+	var elapsed time.Duration
+	if !r.sent.IsZero() {
+		elapsed = time.Since(r.sent)
+	}
+	s.edge.sink.Post(message.AnswerEnded{
+		Request: r.id,
+		Attempt: r.attempt,
+		Answer:  answer,
+		Elapsed: elapsed,
+		Opened:  r.opened,
+	})
+}
+
+// endRequest forgets a request. Its backend connection is gone already.
+func (s *session) endRequest(r *request) {
+	s.stopWatch()
+	s.current.Store(0)
+	s.edge.unregister(r.id)
+	s.request = nil
+	if r.cancel != nil {
+		<-r.cancel
+		r.cancel = nil
+	}
+}
+
+// endWith ends a request with an error. What was held back is dropped.
+func (s *session) endWith(r *request, p *problem, status byte) error {
+	s.endRequest(r)
+	s.resetOut()
+	s.say(p)
+	s.ready(status)
+	return s.flush()
+}
+
+// endCommitted ends a request whose connection was lost, and whose commit is
+// proven nevertheless. The answer to a COMMIT can be given; that to another
+// statement is lost with its rows.
+func (s *session) endCommitted(r *request, b *batch, a message.Acknowledge) error {
+	s.endRequest(r)
+	s.resetOut()
+	s.giveToken(a.Token)
+	if b.traits.first == "COMMIT" && !b.traits.several {
+		return s.answerLocally(b, "COMMIT", nil)
+	}
+	s.say(&problem{
+		state:   stateUnknownOutcome,
+		message: "the work was committed, but its answer was lost",
+		detail:  "Committed at " + a.Token.String() + ".",
+		hint:    "Do not send it again.",
+	})
+	s.ready(statusIdle)
+	return s.flush()
+}
+
+// giveToken appends the session's new token for the caller.
+func (s *session) giveToken(token model.Token) {
+	s.token = token
+	status := pgproto3.ParameterStatus{Name: tokenParameter, Value: token.String()}
+	s.work.out, _ = status.Encode(s.work.out)
+}
+
+// dropConn closes the backend connection of a request. What was open on it is
+// rolled back by the database.
+func (s *session) dropConn(r *request) {
+	if r.conn == nil {
+		return
+	}
+	s.edge.pool.Discard(r.conn)
+	r.conn = nil
+}
+
+// freeConn gives the backend connection back after a whole answer.
+func (s *session) freeConn(r *request) {
+	if r.conn == nil {
+		return
+	}
+	s.edge.pool.Release(r.conn)
+	r.conn = nil
+}
+
+// -----------------------------------------------------------------------------
+// Waiting for the core.
+
+// await waits for the core's next word on a request.
+func (s *session) await(ctx context.Context, r *request) (message.Action, error) {
+	timer := s.work.timer
+	timer.Reset(watchDelay)
+	defer timer.Stop()
+	for {
+		item, ok := s.mailbox.take()
+		if ok {
+			action := s.forRequest(r, item)
+			if action != nil {
+				return action, nil
+			}
+			continue
+		}
+		select {
+		case <-s.mailbox.signal:
+		case <-timer.C:
+			s.startWatch()
+		case <-ctx.Done():
+			return nil, errEnding
+		}
+	}
+}
+
+// forRequest returns the item where it is the core's word on the request and
+// its present attempt.
+func (s *session) forRequest(r *request, item any) message.Action {
+	switch item := item.(type) {
+	case message.Dispatch:
+		if item.Request == r.id && item.Attempt > r.attempt {
+			return item
+		}
+	case message.Refuse:
+		if item.Request == r.id {
+			return item
+		}
+	case message.Abandon:
+		if item.Request == r.id {
+			return item
+		}
+	case message.Release:
+		if item.Request == r.id && item.Attempt == r.attempt {
+			return item
+		}
+	case message.Acknowledge:
+		if item.Request == r.id && item.Attempt == r.attempt {
+			return item
+		}
+	case callerGone:
+		s.withdraw(r)
+	}
+	return nil
+}
+
+// withdraw tells the core, once, that the caller does not want the request any
+// more.
+func (s *session) withdraw(r *request) {
+	if r.canceled {
+		return
+	}
+	r.canceled = true
+	s.edge.sink.Post(message.RequestCanceled{Request: r.id})
+}
--- /dev/null
+++ b/internal/edge/caller/settings.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"strings"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/database"
+)
+
+const (
+	// settingCount bounds the settings that a session keeps.
+	settingCount = 64
+	// settingBytes bounds the text of one of them, in bytes.
+	settingBytes = 1 << 10
+)
+
+// settings holds what a caller has set by SET outside of transactions, to be
+// set again on each backend connection that serves it.
+type settings struct {
+	list []setting
+	// version changes with each change.
+	version uint64
+}
+
+type setting struct {
+	name string
+	// text is the whole statement.
+	text string
+}
+
+func (s *settings) put(one setting) {
+	s.version++
+	for i := range s.list {
+		if s.list[i].name == one.name {
+			s.list[i] = one
+			return
+		}
+	}
+	s.list = append(s.list, one)
+}
+
+func (s *settings) drop(name string) {
+	s.version++
+	for i := range s.list {
+		if s.list[i].name == name {
+			s.list = append(s.list[:i], s.list[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *settings) clear() { *s = settings{version: s.version + 1} }
+
+func (s *settings) hasRoom(one setting) bool {
+	return len(s.list) < settingCount && len(one.text) <= settingBytes
+}
+
+// -----------------------------------------------------------------------------
+// On backend connections.
+
+// replay puts the session's settings in force on a connection. It returns the
+// database's error as a problem where one is refused, or an error where the
+// connection is of no use. Nothing of the caller's work was sent by then.
+func (s *session) replay(conn *database.Conn) (*problem, error) {
+	state := &conn.State
+	if state.Owner == s.ownerNumber() && state.Version == s.settings.version && !state.Dirty {
+		return nil, nil
+	}
+	if state.Owner != 0 {
+		state.Dirty = true
+	}
+	if len(s.settings.list) == 0 {
+		return nil, nil
+	}
+	o := &s.work.outgoing
+	o.reset()
+	if state.Dirty {
+		o.query("DISCARD ALL")
+		forget(state)
+	}
+	for _, one := range s.settings.list {
+		o.query(one.text)
+	}
+	state.Owner = s.ownerNumber()
+	state.Version = s.settings.version
+	return s.runPreludes(conn, o)
+}
+
+// ownerNumber is the session's number where it has settings, else zero.
+func (s *session) ownerNumber() uint64 {
+	if len(s.settings.list) == 0 {
+		return 0
+	}
+	return uint64(s.id)
+}
+
+// runPreludes sends the proxy's own queries and waits for their answers.
+func (s *session) runPreludes(conn *database.Conn, o *outgoing) (*problem, error) {
+	_, err := conn.Write(o.bytes, sendTimeout)
+	if err != nil {
+		return nil, err
+	}
+	y := &relay{s: s, o: o}
+	var refused *problem
+	_ = conn.SetReadDeadline(deadlineIn(sendTimeout))
+	for o.preludes > 0 {
+		frame, err := conn.Reader.Next()
+		if err != nil {
+			return nil, err
+		}
+		if frame.Type == 'E' && refused == nil {
+			refused = databaseProblem(frame)
+			conn.State.Dirty = true
+		}
+		y.takePrelude(frame)
+	}
+	return refused, nil
+}
+
+// keepSetting remembers a SET of the caller that a database has accepted.
+func (s *session) keepSetting(r *request, b *batch) {
+	command := b.command()
+	if command == nil || r.status != statusIdle || !r.first || !b.runs() {
+		return
+	}
+	if command.verb != verbSet {
+		return
+	}
+	s.settings.put(setting{name: command.name, text: command.text})
+	if r.conn != nil {
+		r.conn.State.Owner = s.ownerNumber()
+		r.conn.State.Version = s.settings.version
+	}
+}
+
+// isSetting reports whether the batch is a SET that the session keeps by
+// itself, so that the connection need not be reset for it.
+func (b *batch) isSetting() bool {
+	command := b.command()
+	return command != nil && command.verb == verbSet
+}
+
+// settingName normalises the name of a setting.
+func settingName(name string) string { return strings.ToLower(strings.Trim(name, "\"")) }
