standin: serve the platform's tables, objects and instances

Cause: the platform's port needs a peer with conditional requests, a lagging list of instances, and answers that can be lost after the change. Ruled out: a fault inside the tables; it lies between request and answer, as in a network, so that an outage leaves no trace and a lost answer does. Change: internal/standin/platform, its faults one file each in one table. Conclusion: go test -race ./internal/standin/platform passes.

--- /dev/null
+++ b/internal/standin/platform/fault_none.go
@@ -0,0 +1,12 @@
+package platform
+
+// FaultNone lets every request through.
+type FaultNone struct{}
+
+func (FaultNone) isFault() {}
+
+var faultNone = faultVariant{
+	name:  "none",
+	help:  "every request is answered",
+	parse: func(FaultRequest) (Fault, error) { return FaultNone{}, nil },
+}
