--- /dev/null
+++ b/internal/standin/database/fault_isolate.go
@@ -0,0 +1,20 @@
+package database
+
+// FaultIsolate cuts the streams of the log between the database and others,
+// named by database or by availability zone. Clients still connect.
+type FaultIsolate struct{ From []string }
+
+func (FaultIsolate) isFault() {}
+
+var faultIsolate = faultVariant{
+	name:  "isolate",
+	help:  "cuts the streams of the log to and from the zones or databases in \"from\"",
+	parse: parseIsolate,
+}
+
+func parseIsolate(request FaultRequest) (Fault, error) {
+	if len(request.From) == 0 {
+		return nil, &FaultError{Request: request}
+	}
+	return FaultIsolate{From: request.From}, nil
+}
