standin: offer load and measure what comes back

Cause: ranks, sessions and failovers are judged by what callers see: outcomes, latency from the arrival, the gap between writes, and what the ledger holds in the end. Ruled out: one pool of connections for all kinds, since a flood of one kind would then hold back the others inside the load itself; latency from the time of sending, which hides a slow server. Change: internal/standin/load and the verb load. It classifies outcomes as done, not run, unknown and failed, checks read-your-writes across addresses, and compares the ledger: lost, doubled, and ghosts (told as not committed, but there). Conclusion: go test -race ./internal/standin/... passes.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -26,6 +26,7 @@
 type line struct {
 	Platform platformVerb `cmd:"" help:"Serve the platform's tables, objects and list of instances."`
 	Database databaseVerb `cmd:"" help:"Serve one database of a group."`
+	Load     loadVerb     `cmd:"" help:"Offer work and measure what comes back."`
 }
 
 // streams holds where a verb writes.
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,237 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func equal(t *testing.T, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
+var (
+	post  = Kind{Name: "post", Access: model.AccessWrite, Rate: 500}
+	check = Kind{Name: "check", Access: model.AccessRead, Rate: 500}
+)
+
+// start runs a database until the end of the test.
+func start(t *testing.T, options database.Options) *database.Database {
+	t.Helper()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	options.Listen, options.Admin = loopback, loopback
+	options.Slots, options.Connections = 3, 50
+	db := database.NewDatabase(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	done, err := db.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return db
+}
+
+// newRun returns a run straight against databases, the primary first.
+func newRun(databases ...*database.Database) *run {
+	options := Options{
+		Group: "ratings", User: "load", Kinds: []Kind{post, check}, Connections: 2,
+		Duration: 50 * time.Millisecond, Patience: time.Minute, Seed: 1, Direct: true,
+	}
+	for _, db := range databases {
+		options.Addresses = append(options.Addresses, db.Address())
+		options.Admins = append(options.Admins, db.Admin())
+	}
+	return &run{options: options, prefix: "run"}
+}
+
+// -----------------------------------------------------------------------------
+// Kinds and outcomes.
+
+func TestParseKind(t *testing.T) {
+	cases := []struct {
+		text string
+		want Kind
+		ok   bool
+	}{
+		{"post=write:500/s", post, true},
+		{"check=read:0.5/s", Kind{Name: "check", Access: model.AccessRead, Rate: 0.5}, true},
+		{"post=500/s", Kind{}, false},
+		{"post=delete:500/s", Kind{}, false},
+		{"post=write:500", Kind{}, false},
+		{"post=write:0/s", Kind{}, false},
+		{"post=write:NaN/s", Kind{}, false},
+		{"=write:5/s", Kind{}, false},
+		{"", Kind{}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			got, err := ParseKind(c.text)
+			equal(t, c.want, got)
+			equal(t, c.ok, err == nil)
+		})
+	}
+}
+
+func TestClassify(t *testing.T) {
+	answered := func(code, message string) error {
+		return errors.Wrap(&pgconn.PgError{Code: code, Message: message}, "write")
+	}
+	cases := []struct {
+		name   string
+		err    error
+		access model.Access
+		want   outcome
+		cause  string
+	}{
+		{"done", nil, model.AccessWrite, outcomeDone, ""},
+		{"refused", answered("53000", "not run: overloaded"), model.AccessWrite, outcomeNotRun, "53000"},
+		{"unknown", answered("08007", "outcome unknown"), model.AccessWrite, outcomeUnknown, "08007"},
+		{"failed", answered("58030", "input or output error"), model.AccessWrite, outcomeFailed, "58030"},
+		{"write broken", context.Canceled, model.AccessWrite, outcomeUnknown, causeBroken},
+		{"write timeout", errors.Wrap(context.DeadlineExceeded, "write"), model.AccessWrite, outcomeUnknown, causeTimeout},
+		{"read broken", context.Canceled, model.AccessRead, outcomeFailed, causeBroken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, cause := classify(c.err, c.access)
+			equal(t, c.want, got)
+			equal(t, c.cause, cause)
+		})
+	}
+}
+
+func TestCompareLedger(t *testing.T) {
+	told := map[string]outcome{
+		"run-kept":    outcomeDone,
+		"run-lost":    outcomeDone,
+		"run-doubled": outcomeDone,
+		"run-ghost":   outcomeNotRun,
+		"run-failed":  outcomeFailed,
+		"run-maybe":   outcomeUnknown,
+		"run-refused": outcomeNotRun,
+	}
+	ledger := []string{"run-kept", "run-doubled", "run-doubled", "run-ghost", "run-failed", "run-maybe", "other", "other"}
+	equal(t, Comparison{Acknowledged: 3, Lost: 1, Doubled: 1, Ghosts: 2}, compareLedger(told, "run", ledger))
+}
+
+// -----------------------------------------------------------------------------
+// Runs.
+
+func TestRunAddsUp(t *testing.T) {
+	db := start(t, database.Options{Name: "a", Group: "ratings", Primary: true})
+	for _, closed := range []bool{false, true} {
+		options := newRun(db).options
+		options.Closed = closed
+		options.Checkers = 1
+		report, err := Run(t.Context(), options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, kind := range report.Kinds {
+			equal(t, kind.Offered, kind.Done+kind.NotRun+kind.Unknown+kind.Failed)
+			equal(t, KindReport{}, KindReport{Unknown: kind.Unknown, Failed: kind.Failed})
+			t.Logf("%s: %d offered", name, kind.Offered)
+		}
+		equal(t, int64(0), report.Check.Violations)
+		equal(t, Comparison{Acknowledged: int(report.Kinds["post"].Done)}, *report.Comparison)
+	}
+}
+
+func TestClientCountsOutcomes(t *testing.T) {
+	db := start(t, database.Options{Name: "a", Group: "ratings", Primary: true})
+	r := newRun(db)
+	c := newClient(r, post, 0)
+	t.Cleanup(c.session.close)
+	c.send(t.Context(), t.Context(), time.Now())
+	db.SetFault(database.FaultErr{Share: 1})
+	c.send(t.Context(), t.Context(), time.Now())
+	db.SetFault(database.FaultNone{})
+	c.send(t.Context(), t.Context(), time.Now())
+	equal(t, int64(2), c.tally.Done)
+	equal(t, map[string]int64{"58030": 1}, c.tally.causes)
+	equal(t, map[string]outcome{"run-post-0-0": outcomeDone, "run-post-0-1": outcomeFailed, "run-post-0-2": outcomeDone}, c.told)
+	equal(t, []string{"run-post-0-0", "run-post-0-2"}, db.Content().Ledger)
+}
+
+func TestCheckerSeesStaleReads(t *testing.T) {
+	a := start(t, database.Options{Name: "a", Group: "ratings", Primary: true})
+	b := start(t, database.Options{Name: "b", Group: "ratings", Source: a.Address(), Lag: time.Hour})
+	c := newChecker(newRun(a, b), 0)
+	t.Cleanup(c.session.close)
+	equal(t, true, c.write(t.Context(), 0, true))
+	c.read(t.Context(), 1)
+	equal(t, CheckReport{Checks: 1, Violations: 1}, c.report)
+	b.SetLag(0)
+	if _, err := b.Await(t.Context(), func(s database.State) bool { return s.Applied.Offset == 2 }); err != nil {
+		t.Fatal(err)
+	}
+	c.read(t.Context(), 1)
+	equal(t, CheckReport{Checks: 2, Violations: 1}, c.report)
+}
+
+func TestComments(t *testing.T) {
+	kind := Kind{Name: "post", Deadline: 2 * time.Second}
+	s := newSession(Options{Roam: true})
+	equal(t, "SELECT 1 /*kind='post',deadline='2s'*/", s.commented("SELECT 1", kind))
+	s.token = model.Token{Group: "ratings", Position: model.Position{Term: 3, Offset: 14}}
+	equal(t, "SELECT 1 /*kind='post',deadline='2s',token='ratings%2F3:14'*/", s.commented("SELECT 1", kind))
+}
+
+// -----------------------------------------------------------------------------
+// The report.
+
+func TestReportGolden(t *testing.T) {
+	r := newRun()
+	start := time.Unix(100, 0)
+	r.writes.last = start
+	c := newClient(r, post, 0)
+	for i := range 4 {
+		c.tally.Offered++
+		c.tally.count(outcomeDone, "")
+		c.tally.measure(time.Duration(i+1)*time.Millisecond, 2*time.Millisecond)
+		r.writes.succeeded(start.Add(time.Duration(i*i) * time.Second))
+	}
+	c.tally.Offered++
+	c.tally.count(outcomeUnknown, "08007")
+	c.told["run-post-0-0"] = outcomeDone
+	r.clients = append(r.clients, c)
+	report := r.report(10 * time.Second)
+	report.Check = &CheckReport{Checks: 5}
+	report.Comparison = &Comparison{Acknowledged: 4}
+	got, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const golden = "testdata/report.golden"
+	if *update {
+		if err := os.WriteFile(golden, append(got, '\n'), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	equal(t, string(want), string(got)+"\n")
+}
