Close the gaps that a second reading of the caller edge has shown

Cause, each found by reading: a watch of the caller's connection could go on beside the next read after a held answer inside of a transaction; a cancel request that came while a transaction was idle hit its next statement; the address of a database could change under its idle connections; a database taken away and named again had its connections counted from zero. Change: the watch and a running cancel request are waited for after each batch; an idle transaction has no current request; connections remember their address, and the record of a database lives until its last connection is closed. Also: LISTEN is refused, DEALLOCATE name is answered here, and the system breaks a connection whose data stays unacknowledged for 5 s.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -102,7 +102,7 @@
 
 // mayCommit reports whether the batch, once sent, may have committed something.
 func mayCommit(r *request, b *batch) bool {
-	if r.dispatch.Access == model.AccessRead {
+	if r.dispatch.Access == model.AccessRead || !b.runs() {
 		return false
 	}
 	if r.first && !b.traits.opensTransaction() {
@@ -185,6 +185,7 @@
 	r.passed = true
 	if r.status != statusIdle {
 		s.request = r
+		s.current.Store(0)
 		return err
 	}
 	if end.failure != nil {
--- a/internal/edge/caller/command.go
+++ b/internal/edge/caller/command.go
@@ -14,7 +14,7 @@
 	verbResetAll
 	// verbDiscard is DISCARD ALL.
 	verbDiscard
-	// verbDeallocate is DEALLOCATE ALL.
+	// verbDeallocate is DEALLOCATE name, or ALL, which leaves the name empty.
 	verbDeallocate
 	// verbShow is SHOW of a setting of the proxy's own.
 	verbShow
@@ -59,7 +59,7 @@
 		if word, after := cutWord(rest); strings.EqualFold(word, "PREPARE") {
 			rest = after
 		}
-		return whenAll(rest, &command{verb: verbDeallocate})
+		return parseDeallocate(rest)
 	}
 	name := settingName(rest)
 	if !strings.HasPrefix(name, ownPrefix) {
@@ -68,6 +68,17 @@
 	return &command{verb: verbShow, name: name}
 }
 
+func parseDeallocate(rest string) *command {
+	name := strings.TrimSpace(rest)
+	switch {
+	case name == "" || strings.ContainsAny(name, " \t\r\n"):
+		return nil
+	case strings.EqualFold(name, "ALL"):
+		name = ""
+	}
+	return &command{verb: verbDeallocate, name: strings.Trim(name, "\"")}
+}
+
 func whenAll(rest string, c *command) *command {
 	if strings.EqualFold(strings.TrimSpace(rest), "ALL") {
 		return c
--- a/internal/edge/caller/fake_core_test.go
+++ b/internal/edge/caller/fake_core_test.go
@@ -29,6 +29,9 @@
 	// dispatch is the pattern of every Dispatch.
 	dispatch message.Dispatch
 
+	// quiet keeps no record of the events.
+	quiet bool
+
 	mu     sync.Mutex
 	events []message.Event
 	keys   map[model.RequestID]string
@@ -38,7 +41,9 @@
 
 func (f *fakeCore) Post(event message.Event) {
 	f.mu.Lock()
-	f.events = append(f.events, event)
+	if !f.quiet {
+		f.events = append(f.events, event)
+	}
 	if arrived, ok := event.(message.RequestArrived); ok {
 		f.keys[arrived.Request] = arrived.Key
 	}
@@ -90,6 +95,9 @@
 	d.Attempt = attempt
 	f.mu.Lock()
 	d.Key = f.keys[request]
+	if f.quiet {
+		delete(f.keys, request)
+	}
 	f.mu.Unlock()
 	if d.Expires.IsZero() {
 		d.Expires = time.Now().Add(time.Minute)
--- a/internal/edge/caller/handle.go
+++ b/internal/edge/caller/handle.go
@@ -12,6 +12,12 @@
 		s.ready(s.status())
 		return s.flush()
 	}
+	// A word of the core that came too late for the last batch must not hit
+	// this one.
+	err := s.idleItems(ctx)
+	if err != nil {
+		return err
+	}
 	if s.failed {
 		return s.handleFailed(b)
 	}
@@ -21,6 +27,10 @@
 	if b.isLocal(s.request != nil) {
 		return s.handleLocal(b)
 	}
+	if b.traits.first == "LISTEN" {
+		b.refuse(problemListen)
+		return s.handleProblem(b)
+	}
 	if s.request != nil {
 		return s.goOn(ctx, b)
 	}
@@ -115,6 +125,7 @@
 func (s *session) goOn(ctx context.Context, b *batch) error {
 	r := s.request
 	r.first = false
+	s.current.Store(uint64(r.id))
 	done, err := s.exchange(ctx, r, b)
 	if done || err != nil {
 		return err
--- a/internal/edge/caller/local.go
+++ b/internal/edge/caller/local.go
@@ -79,7 +79,12 @@
 		return s.answerLocally(b, "", nil)
 	}
 	if c.verb == verbShow {
-		return s.answerLocally(b, "SHOW", &answer{column: c.name, value: s.show(c.name)})
+		value, err := s.show(strings.TrimPrefix(c.name, ownPrefix))
+		if err != nil {
+			b.refuse(hintProblem(err))
+			return s.handleProblem(b)
+		}
+		return s.answerLocally(b, "SHOW", &answer{column: c.name, value: value})
 	}
 	if !b.runs() {
 		return s.answerLocally(b, "", nil)
@@ -109,6 +114,10 @@
 		s.hint = hint{roaming: s.hint.roaming}
 		return "RESET", nil
 	case verbDeallocate:
+		if c.name != "" {
+			s.statements.drop(c.name)
+			return "DEALLOCATE", nil
+		}
 		s.statements.clear()
 		return "DEALLOCATE ALL", nil
 	}
@@ -152,21 +161,23 @@
 	return nil
 }
 
-func (s *session) show(name string) string {
-	switch strings.TrimPrefix(name, ownPrefix) {
+// show returns the value of a setting of the proxy's own. Its error is a
+// *HintError.
+func (s *session) show(name string) (string, error) {
+	switch name {
 	case "token":
 		if s.token.Group == "" {
-			return ""
+			return "", nil
 		}
-		return s.token.String()
+		return s.token.String(), nil
 	case "kind":
-		return s.hint.kind
+		return s.hint.kind, nil
 	case "deadline":
-		return s.hint.deadline.String()
+		return s.hint.deadline.String(), nil
 	case "roaming":
-		return onOff(s.hint.roaming)
+		return onOff(s.hint.roaming), nil
 	}
-	return ""
+	return "", &HintError{Name: name, Detail: "not a setting of a session"}
 }
 
 // -----------------------------------------------------------------------------
--- a/internal/edge/caller/patience.go
+++ b/internal/edge/caller/patience.go
@@ -191,11 +191,11 @@
 	t.kill = now.Add(cancelGrace)
 	conn := y.r.conn
 	conn.Taint()
-	if y.r.cancel != nil {
+	if y.s.canceling != nil {
 		return
 	}
 	ended := make(chan struct{})
-	y.r.cancel = ended
+	y.s.canceling = ended
 	pool := y.s.edge.pool
 	go func() {
 		defer close(ended)
--- a/internal/edge/caller/problem.go
+++ b/internal/edge/caller/problem.go
@@ -86,6 +86,10 @@
 		message: "not run: COPY is not supported",
 		hint:    "Send rows by INSERT, several in one statement.",
 	}
+	problemListen = &problem{
+		state:   stateFeatureNotSupported,
+		message: "not run: LISTEN is not supported",
+	}
 	problemTooLarge = &problem{
 		state:   stateProgramLimit,
 		message: "not run: the messages of one batch are too large",
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -42,9 +42,6 @@
 	state string
 	// canceled says that the core was told of the caller's withdrawal.
 	canceled bool
-	// cancel is closed when a cancel request to the database has ended; nil
-	// where none was sent.
-	cancel chan struct{}
 }
 
 // arrive tells the core of a new request.
@@ -91,10 +88,6 @@
 	s.current.Store(0)
 	s.edge.unregister(r.id)
 	s.request = nil
-	if r.cancel != nil {
-		<-r.cancel
-		r.cancel = nil
-	}
 }
 
 // endWith ends a request with an error. What was held back is dropped.
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -50,6 +50,9 @@
 	failed bool
 	// why is what the caller is still to be told of that, or nil.
 	why *problem
+	// canceling is closed when a cancel request to a database has ended; nil
+	// where none was sent.
+	canceling chan struct{}
 	// watch is closed when the watch of the caller's connection has ended;
 	// nil where there is none.
 	watch chan struct{}
@@ -115,6 +118,7 @@
 		err = s.readWhole(ctx, &s.work.batch)
 		if err == nil {
 			err = s.handle(ctx, &s.work.batch)
+			s.settle()
 		}
 		if err != nil {
 			return s.leave(err)
@@ -122,6 +126,15 @@
 	}
 }
 
+// settle waits for what a batch has started beside itself.
+func (s *session) settle() {
+	s.stopWatch()
+	if s.canceling != nil {
+		<-s.canceling
+		s.canceling = nil
+	}
+}
+
 // awaitBatch waits until the caller has sent something. A session without an
 // open transaction holds no buffers while it waits.
 func (s *session) awaitBatch(ctx context.Context) error {
--- /dev/null
+++ b/internal/edge/caller/standin_test.go
@@ -0,0 +1,153 @@
+package caller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/database"
+	standin "github.com/eelgrassfold/eelgrassfold/internal/standin/database"
+)
+
+// newStandinBench starts an edge before a stand-in database.
+func newStandinBench(t testing.TB, connections int) (*Edge, *standin.Database) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	db := standin.NewDatabase(standin.Options{
+		Name: testDatabase, Group: testGroup, Listen: any, Admin: any,
+		Slots: connections, Connections: connections + 10, Primary: true, Term: 7,
+	})
+	dbGone, err := db.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := database.NewPool(database.PoolOptions{User: "eelgrassfold"}, logr.Discard())
+	poolGone, err := pool.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Act(message.SetDatabases{Databases: []message.DatabaseTarget{{
+		Database: testDatabase, Group: testGroup, Address: db.Address(), Connections: connections,
+	}}})
+	core := &fakeCore{
+		keys:     map[model.RequestID]string{},
+		ended:    make(chan message.AnswerEnded),
+		quiet:    true,
+		dispatch: message.Dispatch{Database: testDatabase, Term: 7, Gated: true, Access: model.AccessWrite},
+	}
+	edge := NewEdge(Options{Listen: any, Key: "i1", Trust: true}, pool, core, logr.Discard())
+	core.edge = edge
+	edgeGone, err := edge.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop()
+		<-edgeGone
+		<-poolGone
+		for range dbGone {
+		}
+	})
+	return edge, db
+}
+
+func dial(t testing.TB, address netip.AddrPort) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(context.Background(), "postgres://officer@"+address.String()+"/ratings?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+// TestStandin writes and reads through the edge before a stand-in database.
+func TestStandin(t *testing.T) {
+	edge, _ := newStandinBench(t, 3)
+	ctx := context.Background()
+	conn := dial(t, edge.Address())
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = tx.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "a", "1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = tx.Commit(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got string
+	err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", "a").Scan(&got)
+	if diff := cmp.Diff("1", got); err != nil || diff != "" {
+		t.Fatal(err, diff)
+	}
+	_, err = conn.PgConn().CopyTo(ctx, discard{}, "COPY kv TO STDOUT")
+	if diff := cmp.Diff("0A000", stateOf(err)); diff != "" {
+		t.Error(diff)
+	}
+	err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", "a").Scan(&got)
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// -----------------------------------------------------------------------------
+// Measurements.
+
+// BenchmarkStatements measures a short statement directly and through the
+// edge, with several connections at once.
+func BenchmarkStatements(b *testing.B) {
+	for _, clients := range []int{1, 16, 64} {
+		edge, db := newStandinBench(b, 60)
+		b.Run(name("direct", clients), func(b *testing.B) { benchmark(b, db.Address(), clients) })
+		b.Run(name("through", clients), func(b *testing.B) { benchmark(b, edge.Address(), clients) })
+	}
+}
+
+func name(way string, clients int) string {
+	return way + "-" + time.Duration(clients).String()[:len(time.Duration(clients).String())-2]
+}
+
+func benchmark(b *testing.B, address netip.AddrPort, clients int) {
+	conns := make([]*pgx.Conn, clients)
+	for i := range conns {
+		conns[i] = dial(b, address)
+		_, err := conns[i].Exec(context.Background(), "SELECT 1")
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	var running sync.WaitGroup
+	for i := range conns {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for range b.N / clients {
+				var got int64
+				err := conns[i].QueryRow(context.Background(), "SELECT 1").Scan(&got)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	running.Wait()
+}
--- a/internal/edge/database/conn.go
+++ b/internal/edge/database/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	net     net.Conn
 	subpool *subpool
+	address netip.AddrPort
 	process uint32
 	secret  []byte
 	idle    time.Time
--- a/internal/edge/database/open.go
+++ b/internal/edge/database/open.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -54,12 +54,15 @@
 // dial opens a TCP connection on which the system itself finds out a peer that
 // is gone.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable:   true,
-		Idle:     keepaliveIdle,
-		Interval: keepaliveInterval,
-		Count:    keepaliveCount,
-	}}
+	dialer := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepaliveIdle,
+			Interval: keepaliveInterval,
+			Count:    keepaliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+	}
 	return dialer.DialContext(ctx, network, address)
 }
 
@@ -71,7 +74,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	opened, err := s.pool.open(ctx, s.target(), map[string]string{"application_name": "eelgrassfold"})
+	target := s.target()
+	opened, err := s.pool.open(ctx, target, map[string]string{"application_name": "eelgrassfold"})
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +85,7 @@
 		State:    State{Prepared: map[string]struct{}{}},
 		net:      opened.Conn,
 		subpool:  s,
+		address:  target.Address,
 		process:  opened.PID,
 		secret:   opened.SecretKey,
 	}, nil
@@ -107,7 +112,7 @@
 func (p *Pool) Cancel(ctx context.Context, c *Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	conn, err := dial(ctx, "tcp", address(c.subpool.target().Address))
+	conn, err := dial(ctx, "tcp", c.address.String())
 	if err != nil {
 		return err
 	}
@@ -126,5 +131,3 @@
 	_, _ = conn.Read(make([]byte, 1))
 	return nil
 }
-
-func address(a netip.AddrPort) string { return a.String() }
--- a/internal/edge/database/pool.go
+++ b/internal/edge/database/pool.go
@@ -61,6 +61,9 @@
 	keepaliveIdle     = 5 * time.Second
 	keepaliveInterval = time.Second
 	keepaliveCount    = 3
+	// unacknowledged is the time after which the system breaks a connection
+	// whose peer does not acknowledge what was sent.
+	unacknowledged = 5 * time.Second
 	// messageLimit is the default of PoolOptions.Message, in bytes.
 	messageLimit = 64 << 20
 )
@@ -166,7 +169,6 @@
 	for database, s := range p.subpools {
 		if !known[database] {
 			s.retire()
-			delete(p.subpools, database)
 		}
 	}
 }
@@ -188,7 +190,10 @@
 func (p *Pool) closeIdle(before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.subpools {
+	for database, s := range p.subpools {
 		s.closeIdle(before)
+		if s.isGone() {
+			delete(p.subpools, database)
+		}
 	}
 }
--- a/internal/edge/database/subpool.go
+++ b/internal/edge/database/subpool.go
@@ -136,7 +136,8 @@
 // put gives an idle connection to the first who waits, or keeps it.
 func (s *subpool) put(conn *Conn) {
 	s.mu.Lock()
-	if s.retired || s.current.Leaving || s.open > s.current.Connections {
+	moved := conn.address != s.current.Address
+	if s.retired || s.current.Leaving || moved || s.open > s.current.Connections {
 		s.mu.Unlock()
 		conn.terminate()
 		s.forget()
@@ -212,13 +213,38 @@
 	s.mu.Lock()
 	moved := s.current.Address.IsValid() && s.current.Address != target.Address
 	s.current = target
+	s.retired = false
 	s.mu.Unlock()
 	if target.Leaving || moved {
 		s.closeIdle(time.Now())
 	}
+	s.trim()
 	s.callAll()
 }
 
+// trim closes idle connections above the limit.
+func (s *subpool) trim() {
+	for {
+		s.mu.Lock()
+		if s.open <= s.current.Connections || len(s.idle) == 0 {
+			s.mu.Unlock()
+			return
+		}
+		conn := s.idle[0]
+		s.idle = s.idle[1:]
+		s.mu.Unlock()
+		conn.terminate()
+		s.forget()
+	}
+}
+
+// isGone reports whether nothing is left of a database that was taken away.
+func (s *subpool) isGone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retired && s.open == 0
+}
+
 // retire closes what is idle and refuses everything else.
 func (s *subpool) retire() {
 	s.mu.Lock()
