Set the connection up within an extended batch

Ruled out: one query text of several statements, which shifts the positions in the caller's errors; extended SETs ahead of a simple query, where databases differ on whether an error skips the query. Change: ahead of an extended batch the SETs go into the batch. Where one fails, the database skips the caller's part, which is proof that it did not run.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -59,7 +59,7 @@
 	o := &s.work.outgoing
 	o.reset()
 	if r.first {
-		o.prelude(r.conn, r.dispatch)
+		o.prelude(r.conn, r.dispatch, b.extended)
 	}
 	o.body(r.conn, b)
 	kept := r.first && b.isSetting()
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -77,6 +77,9 @@
 	times timers
 	// preludeFailed says that a query of the proxy's own failed.
 	preludeFailed bool
+	// wasSetUp says that the settings were changed within the batch, so that
+	// a failure of the batch takes them back.
+	wasSetUp bool
 	// known says that the answer has shown its position.
 	known bool
 	// behind says that the position is older than was asked for.
@@ -107,6 +110,9 @@
 			y.takePrelude(frame)
 			continue
 		}
+		if y.o.setups > 0 && y.takeSetup(frame) {
+			continue
+		}
 		if frame.Type == 'Z' {
 			return y.finish(frame)
 		}
@@ -127,6 +133,34 @@
 	}
 }
 
+// takeSetup swallows the answers to the proxy's own statements within the batch,
+// and reports whether the frame was one. Where one of them fails, the database
+// skips everything up to the end of the batch.
+func (y *relay) takeSetup(frame postgres.Frame) bool {
+	switch frame.Type {
+	case 'Z':
+		return false
+	case 'C':
+		y.o.setups--
+		y.wasSetUp = true
+	case 'E':
+		y.setupRefused(frame)
+	}
+	return true
+}
+
+// setupRefused judges the refusal of a statement of the proxy's own: nothing of
+// the caller's has run.
+func (y *relay) setupRefused(frame postgres.Frame) {
+	y.o.setups = 0
+	y.r.conn.Taint()
+	y.refusal = &resultRefused{why: message.RefusedStale}
+	var response pgproto3.ErrorResponse
+	if response.Decode(frame.Body()) == nil && response.Code == stateTerm {
+		y.refusal.why = message.RefusedTerm
+	}
+}
+
 // take acts on one frame of the caller's answer.
 func (y *relay) take(ctx context.Context, frame postgres.Frame) result {
 	switch frame.Type {
@@ -255,6 +289,7 @@
 		return
 	}
 	y.failure = &response
+	y.r.conn.State.Unsure = y.r.conn.State.Unsure || y.wasSetUp
 	// After an error the database skips the rest of an extended batch.
 	y.o.parses = nil
 	y.o.closes = nil
--- a/internal/edge/caller/render.go
+++ b/internal/edge/caller/render.go
@@ -29,6 +29,9 @@
 	// preludes counts the answers of the proxy's own queries that come first,
 	// each up to its ReadyForQuery.
 	preludes int
+	// setups counts the proxy's own statements that follow in the batch
+	// itself, ahead of the caller's.
+	setups int
 	parses   []expectation
 	closes   []expectation
 }
@@ -48,8 +51,22 @@
 	o.preludes++
 }
 
+// setUp appends a statement of the proxy's own. In a simple batch it is a query
+// by itself. In an extended one it goes into the batch: that spares the database
+// a write, and where it fails the database skips the caller's part.
+func (o *outgoing) setUp(text string, extended bool) {
+	if !extended {
+		o.query(text)
+		return
+	}
+	o.bytes, _ = (&pgproto3.Parse{Query: text}).Encode(o.bytes)
+	o.bytes, _ = (&pgproto3.Bind{}).Encode(o.bytes)
+	o.bytes, _ = (&pgproto3.Execute{}).Encode(o.bytes)
+	o.setups++
+}
+
 // prelude appends what sets the connection up for a dispatched request.
-func (o *outgoing) prelude(conn *database.Conn, d message.Dispatch) {
+func (o *outgoing) prelude(conn *database.Conn, d message.Dispatch, extended bool) {
 	state := &conn.State
 	if len(state.Prepared) > preparedLimit {
 		state.Dirty = true
@@ -59,15 +76,16 @@
 		forget(state)
 	}
 	work := workOf(d)
-	if state.Work != work {
-		o.query("SET group_work = '" + work + "'")
+	if state.Work != work || state.Unsure {
+		o.setUp("SET group_work = '"+work+"'", extended)
 		state.Work = work
 	}
 	reads := d.Access == model.AccessRead
-	if state.Reads != reads {
-		o.query("SET group_read = '" + onOff(reads) + "'")
+	if state.Reads != reads || state.Unsure {
+		o.setUp("SET group_read = '"+onOff(reads)+"'", extended)
 		state.Reads = reads
 	}
+	state.Unsure = false
 }
 
 // forget sets the state of a connection after DISCARD ALL.
--- a/internal/edge/database/conn.go
+++ b/internal/edge/database/conn.go
@@ -38,6 +38,9 @@
 	Work string
 	// Reads says that the setting group_read is on.
 	Reads bool
+	// Unsure says that Work and Reads may not be in force: the transaction
+	// that set them has failed.
+	Unsure bool
 	// Prepared holds the names of the prepared statements.
 	Prepared map[string]struct{}
 	// Owner numbers the session whose settings or other state the
