Ask the platform's tables, objects and list of instances

Cause: what must last lives with the platform, and its answers can be lost after the change took effect; what is claimed to have had no effect is tried again. Ruled out: the default transport for changes: a connection left over may be silent or closed, which turns a plain retry into an unknown outcome; telling unsent by the error alone: it does not say whether bytes went out before. Changes have connections of their own whose bytes are counted; a failed one is sealed before the count is read. Redirects are not followed, bodies can't be repeated, and a server error on a change counts as unknown.

--- /dev/null
+++ b/internal/edge/platform/edge_test.go
@@ -0,0 +1,368 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/platform"
+)
+
+// long is a time that no passing test waits for.
+const long = time.Minute
+
+type sink chan message.Event
+
+func (s sink) Post(event message.Event) { s <- event }
+
+func startEdge(t *testing.T, options platform.Options) (*platform.Edge, sink) {
+	t.Helper()
+	events := make(sink, 2000)
+	edge := platform.NewEdge(options, events, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	over, err := edge.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cancel(); <-over })
+	return edge, events
+}
+
+func newPort(address net.Addr) platform.Port {
+	return platform.NewHTTPPort(platform.HTTPOptions{Address: address.(*net.TCPAddr).AddrPort(), Token: "secret"})
+}
+
+// -----------------------------------------------------------------------------
+// Questions and answers.
+
+var (
+	readRow     = message.ReadRow{Ask: 7, Table: "groups", Key: "a/b c", Timeout: long}
+	scanRows    = message.ScanRows{Ask: 7, Table: "groups", Prefix: "a/&", Timeout: long}
+	writeRows   = message.WriteRows{Ask: 7, Rows: []message.Row{{Table: "t", Key: "k", Version: "1", Body: []byte("new")}}, Timeout: long}
+	readObject  = message.ReadObject{Ask: 7, Name: "sum", Timeout: long}
+	writeObject = message.WriteObject{Ask: 7, Name: "sum", Body: []byte("body"), Timeout: long}
+	list        = message.ListInstances{Ask: 7, Timeout: long}
+)
+
+func TestQuestionsAndAnswers(t *testing.T) {
+	tooLarge := strings.Repeat("x", 4<<20+1)
+	unknown := message.RowsWritten{Ask: 7, Err: message.PlatformUnknown}
+	refused := message.RowsWritten{Ask: 7, Err: message.PlatformRefused}
+	sentWrite := `POST /transact {"rows":[{"table":"t","key":"k","version":"1","body":"bmV3"}]}`
+	cases := []struct {
+		name   string
+		action message.Action
+		status int
+		etag   string
+		body   string
+		want   message.Event
+		sent   string
+	}{
+		{
+			"row", readRow, 200, `"v1"`, "old",
+			message.RowsRead{Ask: 7, Rows: []message.Row{{Table: "groups", Key: "a/b c", Version: "v1", Body: []byte("old")}}},
+			"GET /tables/groups/a%2Fb%20c ",
+		},
+		{"row missing", readRow, 404, "", "", message.RowsRead{Ask: 7, Err: message.PlatformMissing}, "GET /tables/groups/a%2Fb%20c "},
+		{"row refused", readRow, 503, "", "", message.RowsRead{Ask: 7, Err: message.PlatformRefused}, "GET /tables/groups/a%2Fb%20c "},
+		{"row too large", readRow, 200, "", tooLarge, message.RowsRead{Ask: 7, Err: message.PlatformUnknown}, "GET /tables/groups/a%2Fb%20c "},
+		{
+			"scan", scanRows, 200, "", `[{"key":"a","version":"1","body":"b2xk"},{"key":"b","version":"2"}]`,
+			message.RowsRead{Ask: 7, Rows: []message.Row{
+				{Table: "groups", Key: "a", Version: "1", Body: []byte("old")}, {Table: "groups", Key: "b", Version: "2"},
+			}},
+			"GET /tables/groups?prefix=a%2F%26 ",
+		},
+		{"scan unreadable", scanRows, 200, "", `{`, message.RowsRead{Ask: 7, Err: message.PlatformRefused}, "GET /tables/groups?prefix=a%2F%26 "},
+		{
+			"write", writeRows, 200, "", `{"rows":[{"table":"t","key":"k","version":"2"}]}`,
+			message.RowsWritten{Ask: 7, Rows: []message.Row{{Table: "t", Key: "k", Version: "2", Body: []byte("new")}}},
+			sentWrite,
+		},
+		{
+			"write conflict", writeRows, 409, "", `{"rows":[{"table":"t","key":"k","version":"3","body":"b2xk"}]}`,
+			message.RowsWritten{
+				Ask: 7, Rows: []message.Row{{Table: "t", Key: "k", Version: "3", Body: []byte("old")}}, Err: message.PlatformConflict,
+			},
+			sentWrite,
+		},
+		{"write conflict unreadable", writeRows, 409, "", `{`, message.RowsWritten{Ask: 7, Err: message.PlatformConflict}, sentWrite},
+		{"write answered with other rows", writeRows, 200, "", `{"rows":[{"table":"t","key":"z","version":"2"}]}`, unknown, sentWrite},
+		{"write answered with too few rows", writeRows, 200, "", `{"rows":[]}`, unknown, sentWrite},
+		{"write unreadable", writeRows, 200, "", `{`, unknown, sentWrite},
+		{"write too large", writeRows, 200, "", tooLarge, unknown, sentWrite},
+		{"write accepted only", writeRows, 202, "", ``, unknown, sentWrite},
+		{"write bad gateway", writeRows, 502, "", ``, unknown, sentWrite},
+		{"write unauthorized", writeRows, 401, "", ``, refused, sentWrite},
+		{"write redirected", writeRows, 307, "", ``, refused, sentWrite},
+		{"object", readObject, 200, "", "body", message.ObjectRead{Ask: 7, Name: "sum", Body: []byte("body")}, "GET /objects/sum "},
+		{"object missing", readObject, 404, "", "", message.ObjectRead{Ask: 7, Name: "sum", Err: message.PlatformMissing}, "GET /objects/sum "},
+		{"object written", writeObject, 204, "", "", message.ObjectWritten{Ask: 7, Name: "sum"}, "PUT /objects/sum body"},
+		{"object lost", writeObject, 500, "", "", message.ObjectWritten{Ask: 7, Name: "sum", Err: message.PlatformUnknown}, "PUT /objects/sum body"},
+		{
+			"instances", list, 200, "", `[{"instance":"i1","zone":"lanier","peer":"127.0.0.1:7","leaving":true}]`,
+			message.InstancesListed{Ask: 7, Instances: []message.ListedInstance{
+				{Instance: "i1", Zone: "lanier", Peer: netip.MustParseAddrPort("127.0.0.1:7"), Leaving: true},
+			}},
+			"GET /instances ",
+		},
+		{"instances unreadable", list, 200, "", `[{"peer":"here"}]`, message.InstancesListed{Ask: 7, Err: message.PlatformRefused}, "GET /instances "},
+	}
+	compare := cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sent := make(chan string, 10)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				sent <- r.Method + " " + r.RequestURI + " " + string(body)
+				if r.Header.Get("Authorization") != "Bearer secret" {
+					t.Error("no token")
+				}
+				w.Header().Set("ETag", c.etag)
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer server.Close()
+			edge, events := startEdge(t, platform.Options{Port: newPort(server.Listener.Addr())})
+			if !edge.Act(c.action) {
+				t.Fatal("the action was not taken")
+			}
+			if diff := cmp.Diff(c.want, <-events, compare); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff([]string{c.sent}, drain(sent)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func drain(sent chan string) []string {
+	close(sent)
+	var all []string
+	for one := range sent {
+		all = append(all, one)
+	}
+	return all
+}
+
+// -----------------------------------------------------------------------------
+// Faults below HTTP.
+
+// listen runs serve on each connection and counts requests read.
+func listen(t *testing.T, serve func(conn net.Conn, requests *atomic.Int32)) (net.Addr, *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var requests atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn, &requests)
+			}()
+		}
+	}()
+	return listener.Addr(), &requests
+}
+
+// readWrite reads one whole request of writeRows.
+func readWrite(conn net.Conn, requests *atomic.Int32) bool {
+	var got []byte
+	buffer := make([]byte, 4096)
+	for !bytes.HasSuffix(got, []byte("}]}")) {
+		n, err := conn.Read(buffer)
+		got = append(got, buffer[:n]...)
+		if err != nil {
+			return false
+		}
+	}
+	requests.Add(1)
+	return true
+}
+
+func TestLostAnswersToWrites(t *testing.T) {
+	cases := []struct {
+		name string
+		// answer is sent before the connection is closed.
+		answer string
+		want   message.PlatformErr
+	}{
+		{"closed without an answer", "", message.PlatformUnknown},
+		{"not HTTP", "hello\r\n\r\n", message.PlatformUnknown},
+		{"closed inside the headers", "HTTP/1.1 200 OK\r\nContent-Le", message.PlatformUnknown},
+		{"closed inside the body", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"rows", message.PlatformUnknown},
+		{"closed inside a conflict", "HTTP/1.1 409 Conflict\r\nContent-Length: 50\r\n\r\n{\"rows", message.PlatformUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, requests := listen(t, func(conn net.Conn, requests *atomic.Int32) {
+				if readWrite(conn, requests) {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			})
+			edge, events := startEdge(t, platform.Options{Port: newPort(address)})
+			for range 3 {
+				edge.Act(writeRows)
+				if diff := cmp.Diff(message.RowsWritten{Ask: 7, Err: c.want}, <-events); diff != "" {
+					t.Error(diff)
+				}
+			}
+			if diff := cmp.Diff(int32(3), requests.Load()); diff != "" {
+				t.Errorf("requests for 3 questions: %s", diff)
+			}
+		})
+	}
+}
+
+func TestNoListenerIsUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	edge, events := startEdge(t, platform.Options{Port: newPort(listener.Addr())})
+	edge.Act(writeRows)
+	if diff := cmp.Diff(message.RowsWritten{Ask: 7, Err: message.PlatformUnsent}, <-events); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A platform that reads the request and stays silent: whatever moment the
+// timeout hits, unsent is claimed only where the platform got nothing.
+func TestTimeoutNeverClaimsUnsentForWhatWasRead(t *testing.T) {
+	var mu sync.Mutex
+	read := false
+	silent := make(chan struct{})
+	defer close(silent)
+	address, _ := listen(t, func(conn net.Conn, _ *atomic.Int32) {
+		n, _ := conn.Read(make([]byte, 1))
+		mu.Lock()
+		read = read || n > 0
+		mu.Unlock()
+		<-silent
+	})
+	edge, events := startEdge(t, platform.Options{Port: newPort(address)})
+	for timeout := time.Microsecond; ; timeout *= 2 {
+		question := writeRows
+		question.Timeout = timeout
+		edge.Act(question)
+		outcome := (<-events).(message.RowsWritten).Err
+		mu.Lock()
+		seen := read
+		mu.Unlock()
+		if seen && outcome == message.PlatformUnsent {
+			t.Fatalf("timeout %s: claimed unsent, but the platform read it", timeout)
+		}
+		if outcome == message.PlatformUnknown {
+			return
+		}
+	}
+}
+
+// -----------------------------------------------------------------------------
+// The queue.
+
+// blockedPort counts reads at once and lets them go when released.
+type blockedPort struct {
+	platform.Port
+	entered  chan struct{}
+	released chan struct{}
+}
+
+func (p *blockedPort) ReadObject(context.Context, string) ([]byte, error) {
+	p.entered <- struct{}{}
+	<-p.released
+	return nil, nil
+}
+
+func TestQueueIsBoundedInNumberAndTime(t *testing.T) {
+	port := &blockedPort{entered: make(chan struct{}, 2000), released: make(chan struct{})}
+	edge, events := startEdge(t, platform.Options{Port: port, Concurrency: 2})
+	ask := func(ask uint64, timeout time.Duration) {
+		edge.Act(message.ReadObject{Ask: ask, Timeout: timeout})
+	}
+	ask(1, long)
+	ask(2, long)
+	<-port.entered
+	<-port.entered
+	ask(3, time.Millisecond)
+	if diff := cmp.Diff(message.ObjectRead{Ask: 3, Err: message.PlatformUnsent}, <-events); diff != "" {
+		t.Errorf("expired in the queue: %s", diff)
+	}
+	for i := uint64(4); i < 4+1024; i++ {
+		ask(i, long)
+	}
+	ask(9999, long)
+	if diff := cmp.Diff(message.ObjectRead{Ask: 9999, Err: message.PlatformUnsent}, <-events); diff != "" {
+		t.Errorf("one too many: %s", diff)
+	}
+	if diff := cmp.Diff(0, len(port.entered)); diff != "" {
+		t.Errorf("asked beyond the concurrency: %s", diff)
+	}
+	close(port.released)
+	answered := map[uint64]message.PlatformErr{}
+	for range 2 + 1024 {
+		event := (<-events).(message.ObjectRead)
+		answered[event.Ask] = event.Err
+	}
+	if diff := cmp.Diff(2+1024, len(answered)); diff != "" {
+		t.Errorf("answers: %s", diff)
+	}
+}
+
+func TestEndAnswersAllQuestions(t *testing.T) {
+	reached, silent := make(chan struct{}), make(chan struct{})
+	defer close(silent)
+	address, _ := listen(t, func(conn net.Conn, requests *atomic.Int32) {
+		readWrite(conn, requests)
+		close(reached)
+		<-silent
+	})
+	events := make(sink, 10)
+	edge := platform.NewEdge(platform.Options{Port: newPort(address), Concurrency: 1}, events, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	over, err := edge.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edge.Act(writeRows)
+	<-reached
+	queued := writeRows
+	queued.Ask = 8
+	edge.Act(queued)
+	cancel()
+	<-over
+	late := writeRows
+	late.Ask = 9
+	edge.Act(late)
+	want := []message.Event{
+		message.RowsWritten{Ask: 7, Err: message.PlatformUnknown},
+		message.RowsWritten{Ask: 8, Err: message.PlatformUnsent},
+		message.RowsWritten{Ask: 9, Err: message.PlatformUnsent},
+	}
+	if diff := cmp.Diff(want, []message.Event{<-events, <-events, <-events}); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/edge/platform/port.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+)
+
+// -----------------------------------------------------------------------------
+// The port.
+
+// Port is the platform's service as this package uses it. Another client of
+// the platform takes its place by implementing it.
+//
+// Its errors are *OutcomeError. An error of another type counts as
+// message.PlatformUnknown, which claims the least. The context carries the
+// question's timeout.
+type Port interface {
+	// ReadRow returns one row.
+	ReadRow(ctx context.Context, table, key string) (message.Row, error)
+	// ScanRows returns the rows whose keys begin with prefix, by key.
+	ScanRows(ctx context.Context, table, prefix string) ([]message.Row, error)
+	// WriteRows changes rows in one transaction and returns them with their
+	// new versions, or, with message.PlatformConflict, as they stand. It
+	// sends the change at most once.
+	WriteRows(ctx context.Context, rows []message.Row) ([]message.Row, error)
+	// ReadObject returns an object's body.
+	ReadObject(ctx context.Context, name string) ([]byte, error)
+	// WriteObject stores an object.
+	WriteObject(ctx context.Context, name string, body []byte) error
+	// ListInstances returns the lagging list of instances.
+	ListInstances(ctx context.Context) ([]message.ListedInstance, error)
+}
+
+// -----------------------------------------------------------------------------
+// Failures.
+
+// OutcomeError tells how a question failed and what that means for its effect.
+type OutcomeError struct {
+	Outcome message.PlatformErr
+	Cause   error
+}
+
+// Error implements error.
+func (e *OutcomeError) Error() string { return e.Outcome.String() + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *OutcomeError) Unwrap() error { return e.Cause }
+
+// StatusError reports an HTTP status that is not a success.
+type StatusError struct {
+	Status int
+	// Text is the head of the answer's body.
+	Text string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("HTTP status %d: %s", e.Status, e.Text) }
+
+// SizeError reports an answer that is larger than its bound.
+type SizeError struct {
+	// Limit is the bound in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string { return fmt.Sprintf("answer larger than %d bytes", e.Limit) }
+
+// MismatchError reports an answer that names other rows than were written.
+type MismatchError struct {
+	Asked, Answered int
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer to %d rows names %d or others", e.Asked, e.Answered)
+}
+
+// QueueError reports a question that was never sent.
+type QueueError struct{ Why string }
+
+// Error implements error.
+func (e *QueueError) Error() string { return "not sent: " + e.Why }
+
+// SealedError reports a write on a connection that was given up.
+type SealedError struct{}
+
+// Error implements error.
+func (e *SealedError) Error() string { return "the connection was given up" }
--- a/internal/report/event/event_platform.go
+++ b/internal/report/event/event_platform.go
@@ -10,11 +10,6 @@
 		"A question to the platform failed. Unsent and refused mean that nothing changed; unknown means that a change may have happened.",
 		[]string{"question", "ask", "outcome", "error"},
 	}
-	PlatformUnreadable = Event{
-		802, "platform-unreadable", LevelError,
-		"The platform's answer could not be read.",
-		[]string{"question", "ask", "error"},
-	}
 )
 
-var platformEvents = []Event{PlatformFailed, PlatformUnreadable}
+var platformEvents = []Event{PlatformFailed}
