--- /dev/null
+++ b/internal/report/event/event_test.go
@@ -0,0 +1,47 @@
+package event
+
+import (
+	"regexp"
+	"testing"
+)
+
+// areaNumbers is the first number of each table in areas.
+var areaNumbers = []int{100, 200, 300, 400, 500, 600, 700, 800, 900}
+
+const areaSize = 100
+
+func TestNumbersAreInTheRangeOfTheirArea(t *testing.T) {
+	for i, area := range areas {
+		for _, e := range area {
+			if e.Number < areaNumbers[i] || e.Number >= areaNumbers[i]+areaSize {
+				t.Errorf("%d %s is outside of %d to %d", e.Number, e.Name, areaNumbers[i], areaNumbers[i]+areaSize-1)
+			}
+		}
+	}
+}
+
+func TestCatalogueIsWellFormed(t *testing.T) {
+	name := regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`)
+	word := regexp.MustCompile(`^[a-z]+$`)
+	sentence := regexp.MustCompile(`^[A-Z].*\.$`)
+	numbers, names := map[int]string{}, map[string]int{}
+	for _, e := range Catalogue() {
+		if other, found := numbers[e.Number]; found {
+			t.Errorf("%d is the number of %s and of %s", e.Number, other, e.Name)
+		}
+		if other, found := names[e.Name]; found {
+			t.Errorf("%s is the name of %d and of %d", e.Name, other, e.Number)
+		}
+		numbers[e.Number], names[e.Name] = e.Name, e.Number
+		if !name.MatchString(e.Name) || !sentence.MatchString(e.Text) {
+			t.Errorf("%d: name %q, text %q", e.Number, e.Name, e.Text)
+		}
+		fields := map[string]bool{}
+		for _, field := range e.Fields {
+			if !word.MatchString(field) || fields[field] {
+				t.Errorf("%d %s: field %q is no single word, or stands twice", e.Number, e.Name, field)
+			}
+			fields[field] = true
+		}
+	}
+}
