Give operators a command line with offline help and typed exit codes

Cause: a pipeline has to tell a conflict from an outage and from an unknown outcome without reading text. Change: command/proxy on kong. One table of verbs feeds parser, help and documents; each verb and each help topic is a file. Failures are a sealed interface with an exit code each.

--- a/cmd/eelgrassfold/main.go
+++ b/cmd/eelgrassfold/main.go
@@ -1,4 +1,10 @@
 // Command eelgrassfold is the database proxy and its operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/command/proxy"
+)
+
+func main() { os.Exit(int(proxy.Main())) }
--- /dev/null
+++ b/internal/command/proxy/operator.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/settings"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
+)
+
+// instance is what verbs ask of a running instance. Its errors are failures.
+type instance interface {
+	Status(ctx context.Context) (status.Status, error)
+	Logbook(ctx context.Context, group string) (status.Logbook, error)
+	Manifest(ctx context.Context) (status.Manifest, error)
+	// Submit returns the number of the manifest that was accepted.
+	Submit(ctx context.Context, body []byte, expected uint64, who string) (uint64, error)
+	Drain(ctx context.Context) error
+}
+
+// operatorFlags are the flags of all verbs that ask an instance.
+type operatorFlags struct {
+	Address netip.AddrPort `default:"127.0.0.1:7480" env:"EELGRASSFOLD_OPERATOR" help:"Operators' address of the instance."`
+	Token   string         `env:"EELGRASSFOLD_TOKEN" placeholder:"REFERENCE" help:"Token of the operators, as file:PATH or env:NAME."`
+	Timeout time.Duration  `default:"10s" help:"Time to wait for the answer."`
+}
+
+// dial returns the instance that the flags name, and a context for one call.
+func (f *operatorFlags) dial(console *Console) (instance, context.Context, context.CancelFunc, error) {
+	token, err := f.loadToken()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(console.Context, f.Timeout)
+	return &httpInstance{address: f.Address, token: token}, ctx, cancel, nil
+}
+
+func (f *operatorFlags) loadToken() (string, error) {
+	if f.Token == "" {
+		return "", nil
+	}
+	secret, valid := settings.ParseSecret(f.Token)
+	if !valid {
+		return "", &UsageError{Why: "--token wants a reference, file:PATH or env:NAME"}
+	}
+	token, err := secret.Load()
+	if err != nil {
+		return "", &InputError{Why: err.Error()}
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/command/proxy/proxy_test.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write expected outputs and documents anew")
+
+// runLine runs a command line as a shell would, without quoting.
+func runLine(line string) (out, failures string, code Exit) {
+	var stdout, stderr bytes.Buffer
+	console := &Console{Context: context.Background(), Out: &stdout, Err: &stderr}
+	code = Run(strings.Fields(strings.TrimPrefix(line, program)), console)
+	return stdout.String(), stderr.String(), code
+}
+
+// -----------------------------------------------------------------------------
+// Regression cases: testdata/cases/NAME holds cmd, expout, experr and expcode,
+// and the files that cmd names. Where it holds a file 'instance', an operators'
+// address is there that gives it as every answer: its first line is the HTTP
+// status, the rest the body.
+
+func TestCases(t *testing.T) {
+	paths, _ := filepath.Glob("testdata/cases/*/cmd")
+	if len(paths) == 0 {
+		t.Fatal("no cases")
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(filepath.Dir(path)), func(t *testing.T) {
+			t.Chdir(filepath.Dir(path))
+			address := startInstance(t)
+			t.Setenv("EELGRASSFOLD_OPERATOR", address)
+			line, _ := os.ReadFile("cmd")
+			out, failures, code := runLine(string(line))
+			hide := strings.NewReplacer(address, "INSTANCE")
+			compareFile(t, "expout", hide.Replace(out))
+			compareFile(t, "experr", hide.Replace(failures))
+			compareFile(t, "expcode", strconv.Itoa(int(code))+"\n")
+		})
+	}
+}
+
+func startInstance(t *testing.T) string {
+	t.Helper()
+	answer, err := os.ReadFile("instance")
+	if err != nil {
+		return "127.0.0.1:1"
+	}
+	head, body, _ := strings.Cut(string(answer), "\n")
+	status, err := strconv.Atoi(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func compareFile(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", path, diff)
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Tables.
+
+func TestTopicsAreComplete(t *testing.T) {
+	listed := map[string]bool{}
+	for _, topic := range topics {
+		listed[topic.name] = true
+		text, found := topicText(topic.name)
+		if !found {
+			t.Errorf("topic %s has no text", topic.name)
+		}
+		out, _, code := runLine("help " + topic.name)
+		if code != ExitOK || !strings.HasSuffix(out, text) {
+			t.Errorf("help %s = %d, without the topic's text:\n%s", topic.name, code, out)
+		}
+		for _, line := range strings.Split(text, "\n") {
+			if len(line) > helpWidth+2 {
+				t.Errorf("topic %s: a line of %d columns: %s", topic.name, len(line), line)
+			}
+		}
+	}
+	files, _ := topicFiles.ReadDir("topics")
+	for _, file := range files {
+		if !listed[strings.TrimSuffix(file.Name(), ".txt")] {
+			t.Errorf("topics/%s is not listed", file.Name())
+		}
+	}
+}
+
+func TestEveryVerbExplainsItself(t *testing.T) {
+	for _, verb := range verbs {
+		out, _, code := runLine("help " + verb.name)
+		if code != ExitOK || !strings.Contains(out, verb.detail) || len(verb.examples) == 0 {
+			t.Errorf("help %s = %d:\n%s", verb.name, code, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/proxy/verb_logbook.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/engine"
+)
+
+var verbLogbook = verb{
+	name:    "logbook",
+	summary: "Print who was primary, who promoted what, when and why.",
+	detail: "Each record is written together with the change that it tells of. Times are of the\n" +
+		"clock of the instance that conducted the change. While the platform is down, the\n" +
+		"instance prints what it and its peers know.",
+	examples:   []string{"eelgrassfold logbook", "eelgrassfold logbook --group finishes", "eelgrassfold logbook --json"},
+	newCommand: func() any { return &logbookCommand{} },
+}
+
+type logbookCommand struct {
+	operatorFlags
+	Group string `help:"Only the records of this group."`
+	JSON  bool   `name:"json" help:"Print the JSON document that the instance sent."`
+}
+
+// Run asks for the records and prints them.
+func (c *logbookCommand) Run(console *Console) error {
+	instance, ctx, cancel, err := c.dial(console)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	report, err := instance.Logbook(ctx, c.Group)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(console, report)
+	}
+	records, err := decodeRecords(report.Records)
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 {
+		console.printf("no records\n")
+	}
+	for _, record := range records {
+		printRecord(console, record)
+	}
+	return nil
+}
+
+func decodeRecords(raw []any) ([]engine.Record, error) {
+	body, err := json.Marshal(raw)
+	if err != nil {
+		return nil, &AnswerError{Why: err.Error()}
+	}
+	var records []engine.Record
+	if err := json.Unmarshal(body, &records); err != nil {
+		return nil, &AnswerError{Why: "the records can't be read: " + err.Error()}
+	}
+	return records, nil
+}
+
+func printRecord(console *Console, record engine.Record) {
+	console.printf("%s  %s  term %d  %s -> %s  at %s  by %s\n",
+		record.Promoted.UTC().Format(time.RFC3339), record.Group, record.Term,
+		orNone(string(record.Before)), record.Primary, record.Position, record.Steward)
+	console.printf("    reason: %s\n", record.Reason)
+	if len(record.Evidence) > 0 {
+		console.printf("    evidence: %s\n", strings.Join(record.Evidence, "; "))
+	}
+	for _, fenced := range record.Fenced {
+		console.printf("    fenced: %s at %s\n", fenced.Database, fenced.Position)
+	}
+	if !record.Suspected.IsZero() {
+		console.printf("    took: %s from the first suspicion, %s from the claim\n",
+			round(record.Promoted.Sub(record.Suspected)), round(record.Promoted.Sub(record.Claimed)))
+	}
+}
--- /dev/null
+++ b/internal/command/proxy/verb_serve.go
@@ -0,0 +1,45 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/settings"
+)
+
+var verbServe = verb{
+	name:    "serve",
+	summary: "Run one instance.",
+	detail: "The instance runs in the foreground and logs to standard error. SIGTERM or SIGINT\n" +
+		"lets it finish the requests in flight and leave; a second signal ends it at once.\n" +
+		"It keeps nothing on disk.",
+	examples:   []string{"eelgrassfold serve --settings /etc/eelgrassfold/settings.toml"},
+	newCommand: func() any { return &serveCommand{} },
+}
+
+type serveCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"The settings of this instance."`
+}
+
+// Run reads the settings and runs the instance until it has left.
+func (c *serveCommand) Run(console *Console) error {
+	read, err := c.readSettings(console)
+	if err != nil {
+		return err
+	}
+	return serveInstance(console, read)
+}
+
+func (c *serveCommand) readSettings(console *Console) (*settings.Settings, error) {
+	body, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return nil, &InputError{Why: fmt.Sprintf("%s: %v", c.Settings, errors.Unwrap(err))}
+	}
+	read, warnings, err := settings.Inspect(body)
+	onError := &Console{Out: console.Err}
+	if !printFaults(onError, c.Settings, warnings, err) {
+		return nil, &InputError{Why: c.Settings + " has faults"}
+	}
+	return read, nil
+}
--- /dev/null
+++ b/internal/command/proxy/verb_status.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
+)
+
+var verbStatus = verb{
+	name:    "status",
+	summary: "Show what an instance believes of its groups, databases and peers.",
+	detail: "It is the belief of one instance, from what it heard itself. 'proof' is the age of\n" +
+		"the proof that a majority of the group is in the term; 'silent' the time since the\n" +
+		"last answer.",
+	examples:   []string{"eelgrassfold status", "eelgrassfold status --json", "eelgrassfold status --address 10.1.1.11:7480 --token file:/etc/eelgrassfold/operator.token"},
+	newCommand: func() any { return &statusCommand{} },
+}
+
+type statusCommand struct {
+	operatorFlags
+	JSON bool `name:"json" help:"Print the JSON document that the instance sent."`
+}
+
+// Run asks for the report and prints it.
+func (c *statusCommand) Run(console *Console) error {
+	instance, ctx, cancel, err := c.dial(console)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	report, err := instance.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(console, report)
+	}
+	printStatus(console, report)
+	return nil
+}
+
+func printStatus(console *Console, report status.Status) {
+	console.printf("instance %s in %s, manifest %d, %d sessions, %d requests",
+		report.Instance, report.Zone, report.Manifest, report.Sessions, report.Requests)
+	if report.Draining {
+		console.printf(", draining")
+	}
+	console.printf("\n")
+	for _, group := range report.Groups {
+		printGroup(console, group)
+	}
+	if len(report.Peers) > 0 {
+		console.printf("\npeers\n")
+		peers := newTable("instance", "zone", "address", "alive", "leaving", "manifest", "silent")
+		for _, peer := range report.Peers {
+			peers.add(peer.Instance, peer.Zone, peer.Address, peer.Alive, peer.Leaving, peer.Manifest, round(peer.Silent))
+		}
+		peers.print(console)
+	}
+	if report.Ranks != nil {
+		console.printf("\nranks\n")
+		printAny(console, report.Ranks)
+	}
+}
+
+func printGroup(console *Console, group status.Group) {
+	console.printf("\ngroup %s, term %d, primary %s, proven %s, proof %s, change %s\n",
+		group.Name, group.Term, orNone(group.Primary), group.Proven, round(group.Proof), orNone(group.Change))
+	for _, evidence := range group.Evidence {
+		console.printf("  evidence: %s\n", evidence)
+	}
+	if group.Proving+group.Settling > 0 {
+		console.printf("  commits waiting for a proof: %d, outcomes being settled: %d\n", group.Proving, group.Settling)
+	}
+	databases := newTable("database", "zone", "role", "term", "received", "applied", "state", "silent", "lag", "running")
+	for _, database := range group.Databases {
+		databases.add(database.Name, database.Zone, database.Role, database.Term, database.Received,
+			database.Applied, databaseState(database), round(database.Silent), round(database.Lag), database.Running)
+	}
+	databases.print(console)
+}
+
+func databaseState(database status.Database) string {
+	switch {
+	case !database.Reachable:
+		return "unreachable"
+	case database.Leaving:
+		return "leaving"
+	case database.Role == "replica" && !database.Streaming:
+		return "not-streaming"
+	default:
+		return "up"
+	}
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+// round shortens a duration to what an operator reads.
+func round(d time.Duration) time.Duration {
+	if d < time.Second {
+		return d.Round(100 * time.Microsecond)
+	}
+	return d.Round(100 * time.Millisecond)
+}
