Refuse settings that would send passwords in the clear

Cause: callers are asked for clear-text passwords, which only TLS or a loopback address keep private. Change: users without a certificate on an address that other hosts reach are a fault. New keys: require (TLS from every caller) and limit (connections). The platform's URL takes no path.

--- a/internal/config/settings/parse.go
+++ b/internal/config/settings/parse.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/toml"
@@ -24,6 +25,10 @@
 	// where the settings give none.
 	DefaultUser = "eelgrassfold"
 
+	// DefaultLimit is the greatest number of callers' connections where the
+	// settings give none.
+	DefaultLimit = 10_000
+
 	leastTick = time.Millisecond
 	mostTick  = 100 * time.Millisecond
 )
@@ -68,7 +73,7 @@
 	s.Platform = readPlatform(root.Table("platform"))
 	s.Peer = readPeer(root.Table("peer"))
 	s.Operator = readOperator(root.Table("operator"), s.Listen.Operators)
-	s.Caller = r.readCaller(root)
+	s.Caller = r.readCaller(root, s.Listen.Callers)
 	s.Database = readDatabase(root.Table("database"))
 	s.Log = readLog(root.Table("log"))
 	return s
@@ -124,6 +129,9 @@
 	if _, err := netip.ParseAddrPort(address.Host); err != nil {
 		table.Fault("url", "%q wants an IP address with a port as its host", text)
 	}
+	if strings.Trim(address.Path, "/") != "" {
+		table.Fault("url", "%q wants no path", text)
+	}
 	platform.URL = address
 	return platform
 }
@@ -174,24 +182,43 @@
 	return operator
 }
 
-func (r *reader) readCaller(root *toml.Table) Caller {
+func (r *reader) readCaller(root *toml.Table, listen netip.AddrPort) Caller {
 	table := root.Table("caller")
-	caller := Caller{TLS: readTLS(table)}
+	caller := Caller{TLS: readTLS(table), Limit: DefaultLimit}
 	caller.Trust, _ = table.Bool("trust")
+	caller.Require, _ = table.Bool("require")
+	if limit, found := table.Int("limit"); found {
+		caller.Limit = limit
+	}
 	taken := map[string]bool{}
 	for _, user := range root.Tables("user") {
 		caller.Users = append(caller.Users, readUser(user, taken))
 	}
+	r.checkCaller(table, caller, listen)
+	return caller
+}
+
+func (r *reader) checkCaller(table *toml.Table, caller Caller, listen netip.AddrPort) {
+	if caller.Limit < 1 {
+		table.Fault("limit", "must be at least 1")
+	}
 	if !caller.Trust && len(caller.Users) == 0 {
 		table.Fault("", "nobody may connect: declare a [[user]], or set trust")
 	}
 	if caller.Trust && len(caller.Users) > 0 {
 		table.Fault("trust", "with trust, the passwords of users are not asked for: drop either")
 	}
-	if !caller.TLS.IsSet() {
-		r.warn(table, "caller", "without a certificate, callers' connections are not encrypted")
+	if caller.TLS.IsSet() {
+		return
 	}
-	return caller
+	if caller.Require {
+		table.Fault("require", "TLS needs a certificate and its secret")
+	}
+	if listen.IsValid() && !listen.Addr().IsLoopback() && len(caller.Users) > 0 {
+		table.Fault("certificate", "is missing, and passwords cross the network only under TLS")
+		return
+	}
+	r.warn(table, "caller", "without a certificate, callers' connections are not encrypted")
 }
 
 func readUser(table *toml.Table, taken map[string]bool) User {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -81,8 +81,13 @@
 // Caller tells who may connect, and how.
 type Caller struct {
 	TLS TLS
+	// Require refuses callers that don't ask for TLS.
+	Require bool
+	// Limit is the greatest number of callers' connections.
+	Limit int
 	// Trust lets everyone in under any name.
 	Trust bool
+	// Users are those who may connect.
 	Users []User
 }
 
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -83,7 +83,7 @@
 		Listen:   Listen{Callers: loopback, Peers: loopback, Operators: loopback},
 		Platform: Platform{URL: &url.URL{Scheme: "http", Host: "127.0.0.1:8080"}},
 		Peer:     Peer{Key: Secret{source: sourceEnv, name: "PEER_KEY"}},
-		Caller:   Caller{Trust: true},
+		Caller:   Caller{Trust: true, Limit: DefaultLimit},
 		Database: Database{User: DefaultUser},
 		Log:      Log{Level: event.LevelInfo, Format: FormatJSON},
 	}
