Write the pages that operators and newcomers start from

Cause: an operator starts from what is seen (a refused submission, a promotion, a flood), not from packages; and outputs in documents go stale.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := .bin
 
-.PHONY: build test lint fmt tools docs demo
+.PHONY: build test lint fmt tools docs docs-check demo
 
 build:
 	go build -o .build/ ./cmd/...
@@ -20,3 +20,14 @@
 
 test:
 	go test -race ./...
+
+# The documents hold commands with their outputs; docs runs them and writes the
+# outputs anew, docs-check fails where one has changed.
+docs:
+	go test ./internal/command/proxy -run 'TestDocs|TestEventsPage' -count 1 -update
+
+docs-check:
+	go test ./internal/command/proxy -run 'TestDocs|TestEventsPage' -count 1
+
+demo: build
+	scripts/demo.sh
