--- a/Makefile
+++ b/Makefile
@@ -30,4 +30,4 @@
 	go test ./internal/command/proxy -run 'TestDocs|TestEventsPage' -count 1
 
 demo: build
-	scripts/demo.sh
+	.build/demo -binaries .build
--- a/internal/command/proxy/proxy.go
+++ b/internal/command/proxy/proxy.go
@@ -38,6 +38,7 @@
 type Console struct {
 	// Context ends when the process shall.
 	Context context.Context
+	In      io.Reader
 	Out     io.Writer
 	Err     io.Writer
 }
@@ -52,7 +53,7 @@
 
 // Main runs the arguments of the process.
 func Main() Exit {
-	console := &Console{Context: context.Background(), Out: os.Stdout, Err: os.Stderr}
+	console := &Console{Context: context.Background(), In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
 	return Run(os.Args[1:], console)
 }
 
--- a/internal/command/proxy/proxy_test.go
+++ b/internal/command/proxy/proxy_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/caller"
 )
 
 var update = flag.Bool("update", false, "write expected outputs and documents anew")
@@ -20,7 +22,7 @@
 // runLine runs a command line as a shell would, without quoting.
 func runLine(line string) (out, failures string, code Exit) {
 	var stdout, stderr bytes.Buffer
-	console := &Console{Context: context.Background(), Out: &stdout, Err: &stderr}
+	console := &Console{Context: context.Background(), In: strings.NewReader(""), Out: &stdout, Err: &stderr}
 	code = Run(strings.Fields(strings.TrimPrefix(line, program)), console)
 	return stdout.String(), stderr.String(), code
 }
@@ -123,3 +125,17 @@
 		}
 	}
 }
+
+func TestHash(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	console := &Console{In: strings.NewReader("hunter2\n"), Out: &stdout, Err: &stderr}
+	if code := Run([]string{"hash"}, console); code != ExitOK {
+		t.Fatalf("hash = %d, %s", code, &stderr)
+	}
+	if _, err := caller.ParsePasswordHash(strings.TrimSpace(stdout.String())); err != nil {
+		t.Errorf("hash printed %q: %v", &stdout, err)
+	}
+	if _, failures, code := runLine("hash"); code != ExitInput || failures == "" {
+		t.Errorf("hash without a password = %d, %q", code, failures)
+	}
+}
--- a/internal/command/proxy/verbs.go
+++ b/internal/command/proxy/verbs.go
@@ -20,6 +20,7 @@
 	verbStatus,
 	verbLogbook,
 	verbDrain,
+	verbHash,
 	verbEvents,
 	verbVersion,
 	verbHelp,
