--- a/internal/standin/demo/process.go
+++ b/internal/standin/demo/process.go
@@ -39,7 +39,9 @@
 	command *exec.Cmd
 	log     lockedBuffer
 	ready   chan map[string]string
-	ended   chan error
+	// ended is closed when the process is gone; failure tells how it went.
+	ended   chan struct{}
+	failure error
 }
 
 // lockedBuffer collects what a process writes.
@@ -68,7 +70,7 @@
 		name:    name,
 		command: exec.Command(filepath.Join(d.binaries, binary), args...),
 		ready:   make(chan map[string]string, 1),
-		ended:   make(chan error, 1),
+		ended:   make(chan struct{}),
 	}
 	p.command.Stderr = &p.log
 	out, err := p.command.StdoutPipe()
@@ -92,7 +94,7 @@
 		p.ready <- addresses
 	}
 	_, _ = io.Copy(&p.log, out)
-	p.ended <- p.command.Wait()
+	p.failure = p.command.Wait()
 	close(p.ended)
 }
 
@@ -101,8 +103,8 @@
 	select {
 	case addresses := <-p.ready:
 		return addresses, nil
-	case err := <-p.ended:
-		return nil, &ProcessError{Name: p.name, Why: fmt.Sprintf("ended early: %v", err)}
+	case <-p.ended:
+		return nil, &ProcessError{Name: p.name, Why: fmt.Sprintf("ended early: %v", p.failure)}
 	case <-ctx.Done():
 		return nil, &ProcessError{Name: p.name, Why: "did not become ready"}
 	}
@@ -124,9 +126,9 @@
 		return &ProcessError{Name: p.name, Why: "ended early"}
 	}
 	select {
-	case err := <-p.ended:
-		if err != nil {
-			return &ProcessError{Name: p.name, Why: err.Error()}
+	case <-p.ended:
+		if p.failure != nil {
+			return &ProcessError{Name: p.name, Why: p.failure.Error()}
 		}
 		return nil
 	case <-time.After(stopLimit):
