--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -1,9 +1,12 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
@@ -53,3 +56,72 @@
 		})
 	}
 }
+
+const otherGroup = `
+[[group]]
+name = "standings"
+[[group.database]]
+name = "e1"
+zone = "z1"
+address = "127.0.0.1:7101"
+[[group.database]]
+name = "e2"
+zone = "z2"
+address = "127.0.0.1:7102"
+[[group.database]]
+name = "e3"
+zone = "z3"
+address = "127.0.0.1:7103"
+`
+
+// TestGroupRemovedWithOpenWrite removes the group while a write is in flight:
+// the write still gets its outcome.
+func TestGroupRemovedWithOpenWrite(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.node("i1")
+	cut := strings.Index(testManifest, "[[group]]")
+	n.post(message.ManifestSubmitted{Ask: 1, Body: []byte(testManifest + otherGroup), Expected: 1})
+	w.run(time.Second)
+	write := w.call(n, "post", "entry-1", model.Token{})
+	n.post(message.ManifestSubmitted{Ask: 2, Body: []byte(testManifest[:cut] + otherGroup), Expected: 2})
+	w.run(5 * time.Millisecond)
+	refused := w.call(n, "post", "entry-2", model.Token{})
+	w.run(10 * time.Second)
+	if n.number != 3 {
+		t.Fatalf("manifest in force = %d, want 3", n.number)
+	}
+	if write.result != resultDone {
+		t.Errorf("write in flight = %s %s, want done", write.result, write.why)
+	}
+	if refused.result == resultNone {
+		t.Errorf("later write got no answer")
+	}
+}
+
+// TestRestartInOutage starts an instance while the platform is down: it serves
+// under the manifest that its peers have, and a lower one never replaces it.
+func TestRestartInOutage(t *testing.T) {
+	w := newWorld(t, 2)
+	first := w.node("i1")
+	first.post(message.ManifestSubmitted{Ask: 1, Body: []byte(testManifest + "# second\n"), Expected: 1})
+	w.run(time.Second)
+	w.platform.down = true
+	w.node("i2").dead = true
+	again := w.start("i2")
+	w.run(2 * time.Second)
+	if again.number != 2 || !again.ready {
+		t.Fatalf("restarted instance: manifest %d, ready %v, want manifest 2, ready", again.number, again.ready)
+	}
+	read := w.call(again, "check", "", model.Token{})
+	w.run(time.Second)
+	if read.result != resultDone {
+		t.Errorf("read at the restarted instance = %s %s", read.result, read.why)
+	}
+	again.post(message.PeerHeard{From: "i9", Body: message.ManifestOffer{
+		Number: 1, Digest: manifest.Digest([]byte(testManifest)), Body: []byte(testManifest),
+	}})
+	w.run(time.Second)
+	if again.number != 2 {
+		t.Errorf("manifest in force = %d after a lower one was offered, want 2", again.number)
+	}
+}
--- a/internal/core/engine/fake_database_test.go
+++ b/internal/core/engine/fake_database_test.go
@@ -213,6 +213,7 @@
 	w := n.world
 	asked := w.now
 	var d *fakeDatabase
+	var name model.DatabaseID
 	var ask uint64
 	var limit time.Duration
 	var answer func(reply func(message.AskErr))
@@ -221,19 +222,19 @@
 	}
 	switch a := action.(type) {
 	case message.Probe:
-		d, ask, limit = w.database(a.Database), a.Ask, a.Timeout
+		d, name, ask, limit = w.database(a.Database), a.Database, a.Ask, a.Timeout
 		answer = now(func() message.AskErr { return message.AskOK })
 	case message.Await:
-		d, ask, limit = w.database(a.Database), a.Ask, a.Timeout+100*time.Millisecond
+		d, name, ask, limit = w.database(a.Database), a.Database, a.Ask, a.Timeout+100*time.Millisecond
 		answer = func(reply func(message.AskErr)) { d.await(a, w.now.Add(a.Timeout), reply) }
 	case message.Fence:
-		d, ask, limit = w.database(a.Database), a.Ask, a.Timeout
+		d, name, ask, limit = w.database(a.Database), a.Database, a.Ask, a.Timeout
 		answer = now(func() message.AskErr { return d.fence(a.Term, a.Nonce) })
 	case message.Promote:
-		d, ask, limit = w.database(a.Database), a.Ask, a.Timeout
+		d, name, ask, limit = w.database(a.Database), a.Database, a.Ask, a.Timeout
 		answer = now(func() message.AskErr { return d.promote(a.Term, a.Nonce) })
 	case message.Follow:
-		d, ask, limit = w.database(a.Database), a.Ask, a.Timeout
+		d, name, ask, limit = w.database(a.Database), a.Database, a.Ask, a.Timeout
 		answer = now(func() message.AskErr { return d.follow(a.Term, w.database(a.Source)) })
 	case message.Settle:
 		n.settle(a)
@@ -243,7 +244,7 @@
 	finish := func(status message.Status, err message.AskErr) {
 		if !done {
 			done = true
-			n.post(message.DatabaseAnswered{Database: d.name, Ask: ask, Asked: asked, Status: status, Err: err})
+			n.post(message.DatabaseAnswered{Database: name, Ask: ask, Asked: asked, Status: status, Err: err})
 		}
 	}
 	n.exchange(d, limit, func(back func(func())) {
@@ -258,6 +259,9 @@
 func (n *node) exchange(d *fakeDatabase, limit time.Duration, ask func(back func(func())), failed func(message.AskErr)) {
 	w := n.world
 	w.after(limit, func() { failed(message.AskTimeout) })
+	if d == nil {
+		return
+	}
 	w.after(w.delay(), func() {
 		if !w.linked(n.name, string(d.name)) {
 			return
--- a/internal/core/engine/system_member.go
+++ b/internal/core/engine/system_member.go
@@ -97,6 +97,7 @@
 		return
 	}
 	d.hinted = true
+	d.hintedAt = e.now
 	e.noteLeaving(d, "peer")
 }
 
--- a/internal/core/engine/system_watch.go
+++ b/internal/core/engine/system_watch.go
@@ -62,6 +62,9 @@
 	if status.Leaving && !d.isLeaving() {
 		e.noteLeaving(d, "database")
 	}
+	if answered.Asked.After(d.hintedAt) {
+		d.hinted = false
+	}
 	d.status = status
 	d.applied = status.Applied
 	d.known = true
--- a/internal/core/engine/table_group.go
+++ b/internal/core/engine/table_group.go
@@ -43,8 +43,10 @@
 	repaired time.Time
 	// following is the number of the Follow on its way, or 0.
 	following uint64
-	// hinted says that a peer has heard that the database is leaving.
-	hinted bool
+	// hinted says that a peer has heard, by hintedAt, that the database is
+	// leaving. A later answer of the database itself replaces the hint.
+	hinted   bool
+	hintedAt time.Time
 	// unusable is the time before which no work goes to the database, after
 	// it could not be reached.
 	unusable time.Time
@@ -82,6 +84,9 @@
 type group struct {
 	name      model.GroupID
 	databases []*database
+	// removed says that the manifest in force has the group no more; it stays
+	// until its open requests have ended.
+	removed bool
 	// term and primary are the newest reign that a database has reported.
 	term    model.Term
 	primary *database
