Run the core in one loop

Cause: the core has no clock, goroutine or network; one part has to step it at once when something arrived and in time for its timers. Ruled out: a channel of events: posting would block when it is full, or drop. Change: runner.Runner with a queue that never blocks, batches of all that waits, a tick of 5 ms, actions to every edge, notes to the log, an end by Leave.

--- /dev/null
+++ b/internal/node/runner/runner.go
@@ -0,0 +1,213 @@
+// Package runner owns the core: one loop that gives it what arrived and hands
+// out what it wants done.
+//
+// # What flows in and out
+//
+// Events flow in by Post, from any goroutine. The loop steps the engine at
+// once with all events that wait, and at least each Options.Tick, so that its
+// timers run. The actions flow out to the attached edges, in order; Note
+// becomes a log line, and Leave ends the loop.
+//
+// One goroutine alone steps the engine: the core needs no locks, and what it
+// decides depends on the order of its events only.
+//
+// # Usage
+//
+//	r := runner.NewRunner(engine, runner.Options{}, log)
+//	databases := group.NewEdge(options, r, log)
+//	r.Attach(databases.Act)
+//	ended := r.Start(ctx)
+//	<-ended
+package runner
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
+)
+
+const (
+	// defaultTick is the longest time between two steps.
+	defaultTick = 5 * time.Millisecond
+	// maxKept bounds the room for events that is kept after a burst.
+	maxKept = 4096
+)
+
+// What the loop has done.
+var (
+	stepCount   = expvar.NewInt("runner.steps")
+	eventCount  = expvar.NewInt("runner.events")
+	actionCount = expvar.NewInt("runner.actions")
+	// stepTime is the time spent in the engine, in nanoseconds.
+	stepTime = expvar.NewInt("runner.nanoseconds")
+)
+
+// -----------------------------------------------------------------------------
+// The loop.
+
+// Engine decides. Step must not keep the slice of events, which is used again.
+type Engine interface {
+	Step(now time.Time, events []message.Event) []message.Action
+}
+
+// Act takes an action and reports whether it is one that it handles. It must
+// not block.
+type Act func(action message.Action) bool
+
+// Options are the settings of a Runner. A zero value has the defaults.
+type Options struct {
+	// Tick is the longest time between two steps.
+	Tick time.Duration
+	// Lines is the number of log lines that one event may write in a second.
+	Lines int
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Runner steps an engine. It implements message.Sink.
+type Runner struct {
+	engine  Engine
+	options Options
+	log     *eventlog.Writer
+	acts    []Act
+	left    chan struct{}
+	// wake has room for one value: events wait.
+	wake chan struct{}
+
+	mu      sync.Mutex
+	waiting []message.Event
+}
+
+// NewRunner returns a runner of engine, with acts to hand its actions to.
+func NewRunner(engine Engine, options Options, log logr.Logger, acts ...Act) *Runner {
+	if options.Tick == 0 {
+		options.Tick = defaultTick
+	}
+	if options.Lines == 0 {
+		options.Lines = eventlog.DefaultLimit
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Runner{
+		engine:  engine,
+		options: options,
+		log:     eventlog.NewWriter(log, options.Lines),
+		acts:    acts,
+		left:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// Attach adds edges, which need the runner as their sink to be made. It must
+// be called before Start.
+func (r *Runner) Attach(acts ...Act) { r.acts = append(r.acts, acts...) }
+
+// Post implements message.Sink.
+func (r *Runner) Post(event message.Event) {
+	r.mu.Lock()
+	r.waiting = append(r.waiting, event)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Left is closed when the core has said that the instance may end.
+func (r *Runner) Left() <-chan struct{} { return r.left }
+
+// Start runs the loop until ctx ends or the core leaves. The channel is closed
+// at its end.
+func (r *Runner) Start(ctx context.Context) <-chan error {
+	over := make(chan error)
+	go func() {
+		defer close(over)
+		r.run(ctx)
+	}()
+	return over
+}
+
+func (r *Runner) run(ctx context.Context) {
+	ticker := time.NewTicker(r.options.Tick)
+	defer ticker.Stop()
+	var room []message.Event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		case <-ticker.C:
+		}
+		events := r.take(room)
+		if r.step(events) {
+			close(r.left)
+			return
+		}
+		room = recycle(events)
+	}
+}
+
+// take returns the events that wait and leaves room in their place.
+func (r *Runner) take(room []message.Event) []message.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events := r.waiting
+	r.waiting = room
+	return events
+}
+
+// recycle empties a slice of events for its next use.
+func recycle(events []message.Event) []message.Event {
+	if cap(events) > maxKept {
+		return nil
+	}
+	clear(events)
+	return events[:0]
+}
+
+// step steps the engine and hands out its actions. It reports whether the core
+// leaves.
+func (r *Runner) step(events []message.Event) bool {
+	now := r.options.Now()
+	actions := r.engine.Step(now, events)
+	stepCount.Add(1)
+	eventCount.Add(int64(len(events)))
+	actionCount.Add(int64(len(actions)))
+	stepTime.Add(int64(r.options.Now().Sub(now)))
+	leaving := false
+	for _, action := range actions {
+		switch action := action.(type) {
+		case message.Note:
+			r.log.Write(now, action.Event, action.Fields...)
+		case message.Leave:
+			r.log.Write(now, event.RunnerStopped)
+			leaving = true
+		default:
+			r.hand(now, action)
+		}
+	}
+	r.log.Flush(now)
+	return leaving
+}
+
+// hand offers an action to every edge: some concern more than one.
+func (r *Runner) hand(now time.Time, action message.Action) {
+	handled := false
+	for _, act := range r.acts {
+		if act(action) {
+			handled = true
+		}
+	}
+	if !handled {
+		r.log.Write(now, event.ActionUnhandled, event.F("action", fmt.Sprintf("%T", action)))
+	}
+}
