Check tokens on statements in the fault matrix

Cause: with the minimum of a statement's own token ignored, no cell turned red: every token of the matrix came with the session. Change: a read of a roaming session brings a token on its statement.

--- a/internal/core/engine/fake_caller_test.go
+++ b/internal/core/engine/fake_caller_test.go
@@ -53,35 +53,38 @@
 	ended    bool
 }
 
-// call opens a session at an instance and sends one request.
+// call opens a session at an instance, with a token or none, and sends one
+// request.
 func (w *world) call(n *node, kind, value string, token model.Token) *fakeCaller {
-	w.lastSession++
-	c := &fakeCaller{
-		node: n, session: w.lastSession, request: model.RequestID(w.lastSession), kind: kind, value: value,
-		result: resultNone, began: w.now,
-	}
-	w.callers = append(w.callers, c)
-	n.callers[c.request] = c
-	n.post(message.SessionOpened{Session: c.session, Group: "ratings", Caller: "officer", Position: token.Position})
-	n.post(message.RequestArrived{
-		Request: c.request, Session: c.session, Kind: kind, Key: fmt.Sprintf("%s-%d", n.name, c.request),
-	})
-	return c
+	c := &fakeCaller{node: n, kind: kind, value: value}
+	return w.open(c, message.SessionOpened{Position: token.Position}, message.RequestArrived{})
+}
+
+// callRoaming opens a session that is spread over several connections and sends
+// one request with a token of its own.
+func (w *world) callRoaming(n *node, kind string, token model.Token) *fakeCaller {
+	c := &fakeCaller{node: n, kind: kind}
+	return w.open(c, message.SessionOpened{Roaming: true}, message.RequestArrived{Position: token.Position})
 }
 
 // begin opens a session and sends a transaction that appends a value.
 func (w *world) begin(n *node, value string) *fakeCaller {
+	c := &fakeCaller{node: n, kind: "post", value: value, transaction: true}
+	return w.open(c, message.SessionOpened{}, message.RequestArrived{Transaction: true})
+}
+
+// open sends a caller's session and request to its instance.
+func (w *world) open(c *fakeCaller, opened message.SessionOpened, arrived message.RequestArrived) *fakeCaller {
 	w.lastSession++
-	c := &fakeCaller{
-		node: n, session: w.lastSession, request: model.RequestID(w.lastSession), kind: "post", value: value,
-		result: resultNone, began: w.now, transaction: true,
-	}
+	c.session, c.request = w.lastSession, model.RequestID(w.lastSession)
+	c.result, c.began = resultNone, w.now
 	w.callers = append(w.callers, c)
-	n.callers[c.request] = c
-	n.post(message.SessionOpened{Session: c.session, Group: "ratings", Caller: "officer"})
-	n.post(message.RequestArrived{
-		Request: c.request, Session: c.session, Kind: "post", Key: fmt.Sprintf("%s-%d", n.name, c.request), Transaction: true,
-	})
+	c.node.callers[c.request] = c
+	opened.Session, opened.Group, opened.Caller = c.session, "ratings", "officer"
+	arrived.Session, arrived.Request, arrived.Kind = c.session, c.request, c.kind
+	arrived.Key = fmt.Sprintf("%s-%d", c.node.name, c.request)
+	c.node.post(opened)
+	c.node.post(arrived)
 	return c
 }
 
--- a/internal/core/engine/matrix_test.go
+++ b/internal/core/engine/matrix_test.go
@@ -363,11 +363,12 @@
 }
 
 // roam reads at an instance with the token of the last write acknowledged at
-// any.
+// any: with one that opens the session, and with one on the statement.
 func (w *world) roam(n *node) {
 	for i := len(w.callers) - 1; i >= 0; i-- {
 		if before := w.callers[i]; before.result == resultDone && before.kind == "post" {
 			w.call(n, "check", "", before.token).after = before
+			w.callRoaming(n, "check", before.token).after = before
 			return
 		}
 	}
