--- a/internal/core/engine/report.go
+++ b/internal/core/engine/report.go
@@ -58,9 +58,7 @@
 		Name: string(g.name), Term: uint64(g.term), Primary: string(g.primaryName()), Proven: g.proven.String(),
 		Proving: len(g.proving), Change: g.steward.step.String(),
 	}
-	if at, found := g.provenAt(); found {
-		report.Proof = e.now.Sub(at)
-	}
+	report.Proof = since(e.now, g.proof)
 	if !g.steward.suspected.IsZero() {
 		report.Evidence = g.steward.evidence
 	}
--- a/internal/core/engine/system_manifest.go
+++ b/internal/core/engine/system_manifest.go
@@ -220,6 +220,7 @@
 	if g.primary != nil && e.databases[g.primary.name] != g.primary {
 		g.primary = nil
 	}
+	g.refreshProof()
 }
 
 // connectionShare returns the number of connections that this instance may open
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
@@ -178,7 +178,15 @@
 			soonest = due
 		}
 	}
-	sort.SliceStable(ready, func(i, j int) bool { return e.isBetter(ready[i], ready[j]) })
+	slices.SortStableFunc(ready, func(a, b *database) int {
+		switch {
+		case e.isBetter(a, b):
+			return -1
+		case e.isBetter(b, a):
+			return 1
+		}
+		return 0
+	})
 	return ready, soonest
 }
 
--- a/internal/core/engine/system_watch.go
+++ b/internal/core/engine/system_watch.go
@@ -72,6 +72,7 @@
 	d.heard = e.now
 	d.failing = time.Time{}
 	e.adoptTerm(d)
+	d.group.refreshProof()
 	e.measureLag(d)
 	e.sampleGroup(d.group)
 }
@@ -131,11 +132,10 @@
 
 // sampleGroup keeps the proof that the latest answers give together.
 func (e *Engine) sampleGroup(g *group) {
-	at, found := g.provenAt()
-	if !found {
+	if g.proof.IsZero() {
 		return
 	}
-	g.addSample(e.now, sample{at: at, position: g.primary.status.Received})
+	g.addSample(e.now, sample{at: g.proof, position: g.primary.status.Received})
 }
 
 // measureLag narrows the estimate of how long a replica takes to show a commit:
--- a/internal/core/engine/table_group.go
+++ b/internal/core/engine/table_group.go
@@ -90,6 +90,9 @@
 	// term and primary are the newest reign that a database has reported.
 	term    model.Term
 	primary *database
+	// proof is when the term was last proven, zero where it is not. It changes
+	// with what a database says only.
+	proof time.Time
 	// proven is the newest position of term that survives any promotion.
 	proven model.Position
 	// samples are ordered by time and by position.
@@ -123,6 +126,9 @@
 // majority is the number of databases that any two majorities share one of.
 func (g *group) majority() int { return len(g.databases)/2 + 1 }
 
+// refreshProof works out the proof of the term after a database has answered.
+func (g *group) refreshProof() { g.proof, _ = g.provenAt() }
+
 // provenAt returns the time at which the term was last proven: the primary and
 // enough others have answered, in the term, a question sent at that time or
 // later. It is a proof: no later term had acknowledged anything at that time.
@@ -151,8 +157,7 @@
 // isProven reports whether the proof of the term is fresh enough to send work
 // under it.
 func (g *group) isProven(now time.Time) bool {
-	at, found := g.provenAt()
-	return found && now.Sub(at) <= proofAge
+	return !g.proof.IsZero() && now.Sub(g.proof) <= proofAge
 }
 
 // provenPosition returns the newest position of the term that a majority holds.
