Tell the core when a link to a peer stands

Cause: an instance that knows its peers by seeds alone never learnt their names, so nobody sent the first heartbeat. Change: the peer edge posts PeerLinked; the core introduces itself at once.

--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -156,7 +156,7 @@
 		e.takeStatus(incoming)
 	case message.SettleAnswered:
 		e.takeSettled(incoming)
-	case message.PeerHeard, message.PeerLost:
+	case message.PeerHeard, message.PeerLinked, message.PeerLost:
 		e.takePeer(incoming)
 	case message.RowsRead, message.RowsWritten, message.ObjectRead, message.ObjectWritten, message.InstancesListed:
 		e.takePlatform(incoming)
--- a/internal/core/engine/system_member.go
+++ b/internal/core/engine/system_member.go
@@ -17,12 +17,31 @@
 // -----------------------------------------------------------------------------
 // Words of peers.
 
-// takePeer learns from a peer.
+// takePeer learns from a link or from what a peer says on it.
 func (e *Engine) takePeer(incoming message.Event) {
-	heard, isMessage := incoming.(message.PeerHeard)
-	if !isMessage || heard.From == e.options.Instance {
+	switch incoming := incoming.(type) {
+	case message.PeerLinked:
+		e.greet(incoming.Peer)
+	case message.PeerHeard:
+		if incoming.From != e.options.Instance {
+			e.takeMessage(incoming)
+		}
+	case message.PeerLost:
+	}
+}
+
+// greet introduces this instance to a peer as soon as there is a link.
+func (e *Engine) greet(peer model.InstanceID) {
+	if peer == e.options.Instance {
 		return
 	}
+	e.instances.get(peer).told = e.now
+	e.instances.sequence++
+	e.do(message.SendPeer{To: peer, Body: e.heartbeat()})
+}
+
+// takeMessage hands a peer's word to the system that it concerns.
+func (e *Engine) takeMessage(heard message.PeerHeard) {
 	switch body := heard.Body.(type) {
 	case message.Heartbeat:
 		e.takeHeartbeat(heard.From, body)
--- a/internal/core/message/event_peer.go
+++ b/internal/core/message/event_peer.go
@@ -13,6 +13,10 @@
 	Body PeerMessage
 }
 
+// PeerLinked tells that a link to an authenticated peer stands, whoever made it.
+// A seed's name is learnt so.
+type PeerLinked struct{ Peer model.InstanceID }
+
 // PeerLost tells that the link to a peer broke or could not be made. It says
 // nothing of the peer's health: only heartbeats do.
 type PeerLost struct {
@@ -107,8 +111,9 @@
 	Slots    int              `msgpack:"n"`
 }
 
-func (PeerHeard) isEvent() {}
-func (PeerLost) isEvent()  {}
+func (PeerHeard) isEvent()  {}
+func (PeerLinked) isEvent() {}
+func (PeerLost) isEvent()   {}
 
 func (Heartbeat) isPeerMessage()       {}
 func (ManifestOffer) isPeerMessage()   {}
--- a/internal/edge/peer/edge.go
+++ b/internal/edge/peer/edge.go
@@ -3,8 +3,8 @@
 // # What flows in and out
 //
 // SetPeers tells which links to keep, and SendPeer sends one message.
-// PeerHeard flows out for each message of a peer, and PeerLost when a link
-// ends or could not be made. Messages may be lost, and the core depends on none
+// PeerLinked flows out when a link stands, PeerHeard for each message of a peer,
+// and PeerLost when a link ends or could not be made. Messages may be lost, and the core depends on none
 // of them.
 //
 // A link is one TCP connection with frames behind their length. Both ends
@@ -352,6 +352,7 @@
 	counters.Add("linked", 1)
 	e.note(event.PeerLinked,
 		event.F("peer", l.peer()), event.F("address", l.address.String()), event.F("dialed", l.dialed))
+	e.sink.Post(message.PeerLinked{Peer: l.peer()})
 	reason := l.run(e.options, func(m message.PeerMessage) {
 		e.sink.Post(message.PeerHeard{From: l.peer(), Body: m})
 	})
