Let one replica lose its stream in the fault matrix

Cause: with a promotion chosen among one fenced replica instead of a majority, no cell turned red: both replicas always held the same log. Change: a fault cuts one replica from the primary.

--- a/internal/core/engine/matrix_test.go
+++ b/internal/core/engine/matrix_test.go
@@ -45,6 +45,9 @@
 		d := w.primary()
 		w.splitFor(faultTime, []string{string(d.name)}, w.replicaNames(d))
 	}},
+	{"one replica cut from primary 5 s", func(w *world, _ *node) {
+		w.splitFor(faultTime, []string{string(w.primary().name)}, []string{string(w.replica().name)})
+	}},
 	{"zone cut off 5 s", func(w *world, n *node) {
 		zone := []string{n.name, fmt.Sprintf("d%d", (indexOf(n.name)-1)%3+1)}
 		w.splitFor(faultTime, zone, w.names(zone...))
