Serve operators over HTTP, with the client of the command line

Cause: operators ask for health, status, the logbook and the manifest, drain an instance and submit manifests. Ruled out: leaving changes open on the loopback interface: any local page in a browser could post there; they need a bearer token, and without one none passes. Conclusion: go test -race -count=3 ./internal/edge/operator passes.

--- /dev/null
+++ b/internal/edge/operator/edge_test.go
@@ -0,0 +1,293 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/operator"
+)
+
+// long is a time that no passing test waits for.
+const long = time.Minute
+
+// core answers questions as a test says, and keeps the events.
+type core struct {
+	edge   *operator.Edge
+	answer func(event message.Event) []message.Action
+	events chan message.Event
+}
+
+func (c *core) Post(event message.Event) {
+	c.events <- event
+	for _, action := range c.answer(event) {
+		c.edge.Act(action)
+	}
+}
+
+func silent(message.Event) []message.Action { return nil }
+
+func start(t *testing.T, options operator.Options, answer func(message.Event) []message.Action) (*core, *operator.Client) {
+	t.Helper()
+	c := &core{answer: answer, events: make(chan message.Event, 1000)}
+	c.edge = operator.NewEdge(options, c, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	over, err := c.edge.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	})
+	return c, operator.NewClient(c.edge.Address(), "secret")
+}
+
+// waiting holds what the core got, without blocking.
+func (c *core) waiting() []message.Event {
+	var all []message.Event
+	for len(c.events) > 0 {
+		all = append(all, <-c.events)
+	}
+	return all
+}
+
+// -----------------------------------------------------------------------------
+// The client against the edge.
+
+func TestSubmissions(t *testing.T) {
+	cases := []struct {
+		name    string
+		decided message.ManifestDecided
+		want    operator.Decision
+	}{
+		{"accepted", message.ManifestDecided{Number: 5}, operator.Decision{Number: 5, Error: "ok"}},
+		{
+			"invalid",
+			message.ManifestDecided{Number: 4, Err: message.SubmitInvalid, Detail: "line 3"},
+			operator.Decision{Number: 4, Error: "invalid", Detail: "line 3"},
+		},
+		{
+			"conflict",
+			message.ManifestDecided{Number: 6, Err: message.SubmitConflict, Detail: "6, not 4"},
+			operator.Decision{Number: 6, Error: "conflict", Detail: "6, not 4"},
+		},
+		{"unavailable", message.ManifestDecided{Err: message.SubmitUnavailable}, operator.Decision{Error: "unavailable"}},
+		{"unknown", message.ManifestDecided{Err: message.SubmitUnknown}, operator.Decision{Error: "unknown"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			core, client := start(t, operator.Options{Token: "secret", Wait: long}, func(event message.Event) []message.Action {
+				decided := c.decided
+				decided.Ask = event.(message.ManifestSubmitted).Ask
+				return []message.Action{message.ManifestDecided{Ask: decided.Ask + 1000}, decided, decided}
+			})
+			got, err := client.Submit(context.Background(), []byte("service = 'x'"), 4, "pipeline")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+			want := []message.Event{message.ManifestSubmitted{Ask: 1, Body: []byte("service = 'x'"), Expected: 4, Who: "pipeline"}}
+			if diff := cmp.Diff(want, core.waiting()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestReports(t *testing.T) {
+	core, client := start(t, operator.Options{Wait: long}, func(event message.Event) []message.Action {
+		wanted := event.(message.StateWanted)
+		return []message.Action{message.Reported{Ask: wanted.Ask, Body: map[string]any{"topic": wanted.Topic}}}
+	})
+	ctx := context.Background()
+	asks := []func() (json.RawMessage, error){
+		func() (json.RawMessage, error) { return client.Status(ctx) },
+		func() (json.RawMessage, error) { return client.Logbook(ctx, "a b&c") },
+		func() (json.RawMessage, error) { return client.Manifest(ctx) },
+	}
+	var topics []int
+	for _, ask := range asks {
+		body, err := ask()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer struct{ Topic int }
+		if err := json.Unmarshal(body, &answer); err != nil {
+			t.Fatal(err)
+		}
+		topics = append(topics, answer.Topic)
+	}
+	if diff := cmp.Diff([]int{0, 1, 2}, topics); diff != "" {
+		t.Error(diff)
+	}
+	want := []message.Event{
+		message.StateWanted{Ask: 1, Topic: message.TopicStatus},
+		message.StateWanted{Ask: 2, Topic: message.TopicLogbook, Group: "a b&c"},
+		message.StateWanted{Ask: 3, Topic: message.TopicManifest},
+	}
+	if diff := cmp.Diff(want, core.waiting()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestHealthReadinessDrainAndCounters(t *testing.T) {
+	ready := false
+	core, client := start(t, operator.Options{Token: "secret", Ready: func() bool { return ready }}, silent)
+	ctx := context.Background()
+	if err := client.Health(ctx); err != nil {
+		t.Error(err)
+	}
+	var refused *operator.AnswerError
+	if err := client.Ready(ctx); !errors.As(err, &refused) || refused.Status != http.StatusServiceUnavailable {
+		t.Errorf("not ready: %v", err)
+	}
+	ready = true
+	if err := client.Ready(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := client.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff([]message.Event{message.DrainWanted{}}, core.waiting()); diff != "" {
+		t.Error(diff)
+	}
+	vars, err := client.Vars(ctx)
+	if err != nil || !strings.Contains(string(vars), `"events"`) {
+		t.Errorf("counters: %v", err)
+	}
+}
+
+func TestBindsLoopbackByDefault(t *testing.T) {
+	core, _ := start(t, operator.Options{}, silent)
+	if diff := cmp.Diff(true, core.edge.Address().Addr().IsLoopback()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Faulty requests, and a core that does not answer.
+
+func TestFaultyRequests(t *testing.T) {
+	bearer := "Bearer secret"
+	cases := []struct {
+		name, method, path, authorization, who, body string
+		noToken                                      bool
+		status                                       int
+	}{
+		{name: "drain without a token", method: "POST", path: "/drain", status: 401},
+		{name: "drain with another token", method: "POST", path: "/drain", authorization: "Bearer secre", status: 401},
+		{name: "drain with another scheme", method: "POST", path: "/drain", authorization: "Basic secret", status: 401},
+		{name: "drain where none may", method: "POST", path: "/drain", authorization: "Bearer ", noToken: true, status: 401},
+		{name: "drain by GET", method: "GET", path: "/drain", authorization: bearer, status: 405},
+		{name: "submit without a token", method: "POST", path: "/manifest?expected=1", who: "me", status: 401},
+		{name: "submit without a number", method: "POST", path: "/manifest", authorization: bearer, who: "me", status: 400},
+		{name: "submit with a bad number", method: "POST", path: "/manifest?expected=-1", authorization: bearer, who: "me", status: 400},
+		{name: "submit without a name", method: "POST", path: "/manifest?expected=1", authorization: bearer, status: 400},
+		{name: "submit with a long name", method: "POST", path: "/manifest?expected=1", authorization: bearer, who: strings.Repeat("x", 201), status: 400},
+		{name: "submit too much", method: "POST", path: "/manifest?expected=1", authorization: bearer, who: "me", body: strings.Repeat("x", 1_000_001), status: 413},
+		{name: "headers too large", method: "GET", path: "/health", who: strings.Repeat("x", 64<<10), status: 431},
+		{name: "unknown path", method: "GET", path: "/other", status: 404},
+		{name: "status by POST", method: "POST", path: "/status", authorization: bearer, status: 405},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			options := operator.Options{Token: "secret"}
+			if c.noToken {
+				options.Token = ""
+			}
+			core, _ := start(t, options, silent)
+			url := "http://" + core.edge.Address().String() + c.path
+			request := httptest.NewRequest(c.method, url, strings.NewReader(c.body))
+			request.RequestURI = ""
+			request.Header.Set("Authorization", c.authorization)
+			request.Header.Set("Who", c.who)
+			response, err := http.DefaultTransport.RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if diff := cmp.Diff(c.status, response.StatusCode); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff([]message.Event(nil), core.waiting()); diff != "" {
+				t.Errorf("the core got: %s", diff)
+			}
+		})
+	}
+}
+
+func TestCoreDoesNotAnswer(t *testing.T) {
+	_, client := start(t, operator.Options{Token: "secret", Wait: time.Millisecond}, silent)
+	ctx := context.Background()
+	// More than may be open at once: each question makes room when it ends.
+	for range 70 {
+		var refused *operator.AnswerError
+		if _, err := client.Status(ctx); !errors.As(err, &refused) || refused.Status != http.StatusServiceUnavailable {
+			t.Fatalf("status: %v", err)
+		}
+	}
+	decision, err := client.Submit(ctx, nil, 1, "me")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := operator.Decision{Error: "unknown", Detail: "no decision in time"}
+	if diff := cmp.Diff(want, decision); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTooManyQuestionsAreRefusedUnasked(t *testing.T) {
+	core, client := start(t, operator.Options{Token: "secret", Wait: long}, silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	for range 64 {
+		go func() {
+			_, err := client.Status(ctx)
+			ended <- err
+		}()
+	}
+	for range 64 {
+		<-core.events
+	}
+	decision, err := client.Submit(context.Background(), nil, 1, "me")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := operator.Decision{Error: "unavailable", Detail: "too many requests wait"}
+	if diff := cmp.Diff(want, decision); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]message.Event(nil), core.waiting()); diff != "" {
+		t.Errorf("the core got: %s", diff)
+	}
+	cancel()
+	for range 64 {
+		<-ended
+	}
+}
+
+func TestNoInstance(t *testing.T) {
+	server := httptest.NewServer(nil)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	server.Close()
+	if err := operator.NewClient(address, "").Health(context.Background()); err == nil {
+		t.Error("no error without an instance")
+	}
+}
