--- a/internal/edge/group/connection.go
+++ b/internal/edge/group/connection.go
@@ -39,7 +39,7 @@
 
 // open connects to a database and logs in until expires. The connection
 // closes itself when ctx ends.
-func open(ctx context.Context, to target, user string, expires time.Time) (*connection, error) {
+func open(ctx context.Context, to target, options Options, expires time.Time) (*connection, error) {
 	dialer := net.Dialer{Deadline: expires}
 	conn, err := dialer.DialContext(ctx, "tcp", to.address.String())
 	if err != nil {
@@ -48,7 +48,7 @@
 	c := &connection{conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
 	c.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	c.frontend.SetMaxBodyLen(maxAnswer)
-	if err := c.login(to, user, expires); err != nil {
+	if err := c.login(to, options, expires); err != nil {
 		c.close()
 		return nil, err
 	}
@@ -60,14 +60,14 @@
 	_ = c.conn.Close()
 }
 
-func (c *connection) login(to target, user string, expires time.Time) error {
+func (c *connection) login(to target, options Options, expires time.Time) error {
 	if err := c.conn.SetDeadline(expires); err != nil {
 		return errors.WithStack(err)
 	}
 	c.frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
-			"user":             user,
+			"user":             options.User,
 			"database":         string(to.group),
 			"application_name": "eelgrassfold",
 			"group_control":    "on",
@@ -76,11 +76,11 @@
 	if err := c.frontend.Flush(); err != nil {
 		return errors.WithStack(err)
 	}
-	return c.awaitReady()
+	return c.awaitReady(options.Password)
 }
 
-// awaitReady reads the answers to the startup message.
-func (c *connection) awaitReady() error {
+// awaitReady answers what the database asks of the startup message.
+func (c *connection) awaitReady(password string) error {
 	for {
 		answer, err := c.frontend.Receive()
 		if err != nil {
@@ -92,6 +92,11 @@
 		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.BackendKeyData,
 			*pgproto3.NoticeResponse, *pgproto3.NegotiateProtocolVersion:
 			continue
+		case *pgproto3.AuthenticationCleartextPassword:
+			c.frontend.Send(&pgproto3.PasswordMessage{Password: password})
+			if err := c.frontend.Flush(); err != nil {
+				return errors.WithStack(err)
+			}
 		case *pgproto3.ErrorResponse:
 			return &StatementError{State: answer.Code, Message: answer.Message}
 		default:
--- a/internal/edge/group/edge.go
+++ b/internal/edge/group/edge.go
@@ -61,6 +61,9 @@
 type Options struct {
 	// User is the user name of the control connections.
 	User string
+	// Password is sent in clear text to a database that asks for it so. Other
+	// ways to authenticate are not offered.
+	Password string
 	// Connect is the longest time for opening a connection.
 	Connect time.Duration
 	// Backoff is the longest pause after the first failure to connect. It
--- a/internal/edge/group/edge_test.go
+++ b/internal/edge/group/edge_test.go
@@ -179,9 +179,16 @@
 const brief = 40 * time.Millisecond
 
 func startEdge(t *testing.T, addresses map[model.DatabaseID]netip.AddrPort) (*group.Edge, sink) {
+	t.Helper()
+	return startEdgeWith(t, group.Options{Connect: long, BackoffMax: time.Millisecond}, addresses)
+}
+
+func startEdgeWith(
+	t *testing.T, options group.Options, addresses map[model.DatabaseID]netip.AddrPort,
+) (*group.Edge, sink) {
 	t.Helper()
 	events := make(sink, 100)
-	edge := group.NewEdge(group.Options{Connect: long, BackoffMax: time.Millisecond}, events, logr.Discard())
+	edge := group.NewEdge(options, events, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	over, err := edge.Start(ctx)
 	if err != nil {
--- a/internal/edge/group/lane.go
+++ b/internal/edge/group/lane.go
@@ -207,7 +207,7 @@
 	if last := latest(waiting); last.Before(expires) {
 		expires = last
 	}
-	conn, err := open(ctx, l.target, l.options.User, expires)
+	conn, err := open(ctx, l.target, l.options, expires)
 	if err != nil {
 		l.postpone(err)
 		l.fail(waiting, message.AskUnreachable)
