--- a/internal/core/message/event_peer.go
+++ b/internal/core/message/event_peer.go
@@ -73,38 +73,71 @@
 	Leaving  bool             `msgpack:"leave"`
 }
 
-// Demand tells the arbiter of a group what the sender wants. See core/rank.
+// Demand tells the arbiter of a group what the sender wants and which leases it
+// holds. Each Demand replaces the one before, so that a lost one does no harm.
+// See core/rank.
 type Demand struct {
-	Group    model.GroupID `msgpack:"grp"`
-	Sequence uint64        `msgpack:"seq"`
-	Wants    []Want        `msgpack:"wants"`
+	Group model.GroupID `msgpack:"grp"`
+	// Sequence counts the sender's demands for this group.
+	Sequence uint64 `msgpack:"seq"`
+	// Seen is the sequence of the newest Permit that the sender has heard
+	// from this arbiter. A lease granted up to Seen that is not in Held has
+	// been given back.
+	Seen  uint64      `msgpack:"seen"`
+	Wants []Want      `msgpack:"wants"`
+	Held  []HeldLease `msgpack:"held"`
+	// Limits lists the databases for which the sender has lowered its limit.
+	Limits []SlotLimit `msgpack:"lim"`
 }
 
-// Want is the demand of one rank on one database.
+// Want is the demand of one rank on any one of a set of databases.
 type Want struct {
-	Database model.DatabaseID `msgpack:"db"`
-	Rank     model.Rank       `msgpack:"rank"`
-	// Waiting and Running count requests.
+	Databases []model.DatabaseID `msgpack:"dbs"`
+	Rank      model.Rank         `msgpack:"rank"`
+	// Late says that they can no longer be answered inside their target; they
+	// are served after those of the same rank that can.
+	Late bool `msgpack:"late"`
+	// Waiting counts the requests that wait for a slot.
 	Waiting int `msgpack:"wait"`
-	Running int `msgpack:"run"`
 	// Slack is the time until the earliest deadline among those waiting.
 	Slack time.Duration `msgpack:"slack"`
 }
 
-// Permit tells an instance which slots it may use, from the arbiter.
+// HeldLease is one lease in a Demand.
+type HeldLease struct {
+	Lease    uint64           `msgpack:"id"`
+	Database model.DatabaseID `msgpack:"db"`
+	Rank     model.Rank       `msgpack:"rank"`
+}
+
+// SlotLimit is how many slots of a database all instances together should use.
+type SlotLimit struct {
+	Database model.DatabaseID `msgpack:"db"`
+	Slots    int              `msgpack:"n"`
+}
+
+// Permit tells an instance which leases it has, from the arbiter of the group.
+// Each Permit replaces the one before and renews the leases that it lists.
 type Permit struct {
-	Group    model.GroupID `msgpack:"grp"`
-	Sequence uint64        `msgpack:"seq"`
-	Slots    []PermitSlots `msgpack:"slots"`
-	// Valid is how long the permit holds from its arrival.
+	Group model.GroupID `msgpack:"grp"`
+	// Sequence counts the arbiter's permits to this instance.
+	Sequence uint64 `msgpack:"seq"`
+	// Seen is the sequence of the newest Demand that the arbiter has heard
+	// from this instance.
+	Seen   uint64  `msgpack:"seen"`
+	Leases []Lease `msgpack:"leases"`
+	// Valid is how long the leases hold from the arrival of the permit.
 	Valid time.Duration `msgpack:"valid"`
 }
 
-// PermitSlots is the part of a permit for one database and rank.
-type PermitSlots struct {
+// Lease lets an instance use one slot of a database for one rank, for one
+// request after another.
+type Lease struct {
+	Lease    uint64           `msgpack:"id"`
 	Database model.DatabaseID `msgpack:"db"`
 	Rank     model.Rank       `msgpack:"rank"`
-	Slots    int              `msgpack:"n"`
+	// Recall asks for the lease back after the request that uses it.
+	Recall bool `msgpack:"back"`
 }
 
 func (PeerHeard) isEvent() {}
--- a/internal/core/rank/admission.go
+++ b/internal/core/rank/admission.go
@@ -115,28 +115,16 @@
 }
 
 // -----------------------------------------------------------------------------
-// Standing queues.
+// Prompt and late work.
 
-// standing tells a burst, which a queue absorbs, from overload, in which a long
-// queue only makes every answer late.
-type standing struct {
-	late  bool
-	since time.Time
+// isLate reports whether the work is no longer expected inside its target.
+func (i *item) isLate(now time.Time) bool {
+	return !i.target.IsZero() && now.Add(i.cost).After(i.target)
 }
 
-// note takes in how long a work waited for its slot.
-func (s *standing) note(now time.Time, waited, target time.Duration) {
-	late := target > 0 && waited > target/2
-	if late && !s.late {
-		s.since = now
-	}
-	s.late = late
-}
-
-// isOverload reports whether waits have been long for more than the target.
-func (s *standing) isOverload(now time.Time, target time.Duration) bool {
-	return s.late && now.Sub(s.since) > target
-}
+// promptPart is the part of the target that the expected wait may fill, so that
+// what is admitted as prompt mostly is.
+const promptPart = 0.7
 
 // -----------------------------------------------------------------------------
 // The door.
@@ -147,25 +135,29 @@
 	return Refusal{Why: why, Again: again, Detail: detail}, false
 }
 
-// admit decides whether work of an expected cost is taken in.
-func (s *Scheduler) admit(now time.Time, g *group, q *queue, work *Work, cost time.Duration) (Refusal, bool) {
+// admit decides whether an item is taken in, and as which class.
+func (s *Scheduler) admit(now time.Time, g *group, q *queue, it *item) (Refusal, bool) {
+	work := &it.work
 	if !now.Before(work.Deadline) {
 		return q.refuse(message.RefuseDeadline, 0, "deadline has passed")
 	}
 	if q.waiting >= queueLength || q.bytes+work.Bytes > queueBytes {
-		return q.refuse(message.RefuseOverload, s.again(work, q.wait(s, now, g, work)), "queue is full")
+		return q.refuse(message.RefuseOverload, s.again(work, maxAgain), "queue is full")
 	}
 	if q.caller(work.Caller).waiting >= queueLength-q.waiting {
-		return q.refuse(message.RefuseOverload, s.again(work, q.wait(s, now, g, work)), "caller holds its share of the queue")
+		return q.refuse(message.RefuseOverload, s.again(work, maxAgain), "caller holds its share of the queue")
 	}
-	bound := work.Deadline
-	target := s.target(q.rank)
-	if soon := work.Arrived.Add(target); target > 0 && soon.Before(bound) && q.standing.isOverload(now, target) {
-		bound = soon
+	ahead := s.ahead(now, g, q, work)
+	if target := s.target(q.rank); target > 0 {
+		it.target = work.Arrived.Add(target)
+		room := time.Duration(promptPart * float64(it.target.Sub(now)))
+		if ahead.prompt+it.cost <= room {
+			return Refusal{}, true
+		}
+		it.class = classLate
 	}
-	wait := q.wait(s, now, g, work)
-	if late := now.Add(wait + cost).Sub(bound); late > 0 {
-		return q.refuse(message.RefuseOverload, s.again(work, late), "can't be in time")
+	if late := now.Add(ahead.late + it.cost).Sub(work.Deadline); late > 0 {
+		return q.refuse(message.RefuseOverload, s.again(work, min(late, ahead.prompt)), "can't be in time")
 	}
 	return Refusal{}, true
 }
@@ -177,20 +169,37 @@
 	return after + after*step/againSpread
 }
 
-// wait estimates how long work waits for its slot, given what is before it and
-// the rate at which the rank is served.
-func (q *queue) wait(s *Scheduler, now time.Time, g *group, work *Work) time.Duration {
+// waits are the times that work is expected to wait for its slot, by class.
+type waits struct{ prompt, late time.Duration }
+
+// ahead estimates how long work waits for its slot, given what is before it and
+// the rate at which the rank is served. Late work is served at the rate that
+// prompt work leaves.
+func (s *Scheduler) ahead(now time.Time, g *group, q *queue, work *Work) waits {
 	a := s.access(work.Kind)
 	slots := s.slotsOf(now, g, a)
-	ahead := q.backlog[a].ahead(now, work.Deadline)
+	prompt := q.backlog[a][classPrompt].ahead(now, work.Deadline)
 	left := slots
 	for _, other := range g.queues[:q.rank] {
-		ahead += other.backlog[a].total()
-		left -= other.drain[a].at(now) / window.Seconds()
+		prompt += other.backlog[a][classPrompt].total()
+		left -= other.drained(now, a)
 	}
-	rate := max(left, s.floors[q.rank]*slots, q.drain[a].at(now)/window.Seconds())
+	rate := max(left, s.floors[q.rank]*slots, q.drained(now, a))
+	late := prompt + q.backlog[a][classLate].ahead(now, work.Deadline)
+	lateRate := rate - q.drain[a][classPrompt].at(now)/window.Seconds()
+	return waits{prompt: waitFor(prompt, rate), late: waitFor(late, lateRate)}
+}
+
+// drained returns the slots that the rank used on average over the window.
+func (q *queue) drained(now time.Time, a model.Access) float64 {
+	return (q.drain[a][classPrompt].at(now) + q.drain[a][classLate].at(now)) / window.Seconds()
+}
+
+// waitFor returns the time in which a backlog is served at a rate of slots.
+func waitFor(backlog time.Duration, rate float64) time.Duration {
+	const forever = time.Hour
 	if rate <= 0 {
-		return maxAgain
+		return forever
 	}
-	return time.Duration(float64(ahead) / rate)
+	return min(time.Duration(float64(backlog)/rate), forever)
 }
--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -34,14 +34,20 @@
 	id        model.GroupID
 	databases []*database
 	queues    []*queue
+	share     share
 }
 
 // database is the state of one database.
 type database struct {
-	id     model.DatabaseID
-	group  *group
-	bit    uint64
-	ledger ledger
+	id    model.DatabaseID
+	group *group
+	bit   uint64
+	// ledger and meter are this instance's use, fleet and fleetMeter that of
+	// all, as the arbiter sees it.
+	ledger     ledger
+	meter      meter
+	fleet      ledger
+	fleetMeter meter
 }
 
 // caller is what the scheduler knows of one caller in one rank.
@@ -58,21 +64,22 @@
 	recheck []*item
 	callers map[model.CallerID]*caller
 	// pruneAt is the number of callers at which old ones are forgotten.
-	pruneAt  int
-	usage    usage
-	waiting  int
-	bytes    int
-	backlog  [accesses]backlog
-	drain    [accesses]usage
-	standing standing
-	count    counters
+	pruneAt int
+	usage   usage
+	waiting int
+	bytes   int
+	backlog [accesses][classes]backlog
+	drain   [accesses][classes]usage
+	count   counters
 }
 
 func newQueue(r model.Rank, width time.Duration) *queue {
 	q := &queue{rank: r, callers: map[model.CallerID]*caller{}, pruneAt: pruneCount}
 	q.count.refused = map[message.RefuseWhy]uint64{}
 	for a := range q.backlog {
-		q.backlog[a].width = width
+		for c := range q.backlog[a] {
+			q.backlog[a][c].width = width
+		}
 	}
 	return q
 }
@@ -90,14 +97,14 @@
 	return mask
 }
 
-// lane returns the lane of a set of databases.
-func (q *queue) lane(mask uint64) *lane {
+// lane returns the lane of a class and a set of databases.
+func (q *queue) lane(mask uint64, c class) *lane {
 	for _, known := range q.lanes {
-		if known.mask == mask {
+		if known.mask == mask && known.class == c {
 			return known
 		}
 	}
-	added := newLane(mask)
+	added := newLane(mask, c)
 	q.lanes = append(q.lanes, added)
 	return added
 }
@@ -137,7 +144,7 @@
 	q.waiting++
 	q.bytes += it.work.Bytes
 	q.caller(it.work.Caller).waiting++
-	q.backlog[s.access(it.work.Kind)].add(now, it)
+	q.backlog[s.access(it.work.Kind)][it.class].add(now, it)
 	s.waiting[it.work.Request] = it
 	heap.Push(&s.expiry, it)
 }
@@ -151,7 +158,7 @@
 	q.waiting--
 	q.bytes -= it.work.Bytes
 	q.caller(it.work.Caller).waiting--
-	q.backlog[s.access(it.work.Kind)].remove(it)
+	q.backlog[s.access(it.work.Kind)][it.class].remove(it)
 	delete(s.waiting, it.work.Request)
 	heap.Remove(&s.expiry, it.expiry)
 }
@@ -191,7 +198,7 @@
 		it.line.lane.remove(it)
 	}
 	it.mask = mask
-	q.lane(mask).add(it, q.caller(it.work.Caller))
+	q.lane(mask, it.class).add(it, q.caller(it.work.Caller))
 }
 
 // -----------------------------------------------------------------------------
@@ -216,7 +223,7 @@
 
 // grantDatabase starts one work that d may serve. It reports whether it did.
 func (s *Scheduler) grantDatabase(now time.Time, d *database, candidates Candidates) bool {
-	if !s.isFree(now, d) {
+	if !s.isFree(d) {
 		return false
 	}
 	s.order = d.ledger.order(now, s.floors, s.order)
@@ -235,7 +242,7 @@
 		return false
 	}
 	for range looksPerPick {
-		it := q.best(now, d.bit)
+		it := s.best(now, q, d.bit)
 		if it == nil {
 			return false
 		}
@@ -251,12 +258,38 @@
 	return false
 }
 
-// best returns the work that d's bit may serve next.
-func (q *queue) best(now time.Time, bit uint64) *item {
+// best returns the work that d's bit may serve next: prompt work before late
+// work, then the earliest deadline. Prompt work that has become late changes
+// its class here.
+func (s *Scheduler) best(now time.Time, q *queue, bit uint64) *item {
+	for {
+		it := q.first(now, bit, classPrompt)
+		if it == nil {
+			return q.first(now, bit, classLate)
+		}
+		if !it.isLate(now) {
+			return it
+		}
+		s.demote(now, q, it)
+	}
+}
+
+// demote makes a prompt item late.
+func (s *Scheduler) demote(now time.Time, q *queue, it *item) {
+	backlogs := &q.backlog[s.access(it.work.Kind)]
+	backlogs[it.class].remove(it)
+	it.line.lane.remove(it)
+	it.class = classLate
+	backlogs[it.class].add(now, it)
+	q.lane(it.mask, it.class).add(it, q.caller(it.work.Caller))
+}
+
+// first returns the earliest work of a class that the bit may serve.
+func (q *queue) first(now time.Time, bit uint64, c class) *item {
 	total := q.usage.at(now)
 	var best *item
 	for _, l := range q.lanes {
-		if l.mask&bit == 0 {
+		if l.mask&bit == 0 || l.class != c {
 			continue
 		}
 		head := l.head(now, total)
@@ -274,7 +307,7 @@
 		if other == d {
 			return d
 		}
-		if other != nil && other.group == d.group && s.isFree(now, other) && s.allows(now, other, r) {
+		if other != nil && other.group == d.group && s.isFree(other) && s.allows(now, other, r) {
 			return other
 		}
 	}
@@ -288,8 +321,8 @@
 	it.database = d
 	s.running[it.work.Request] = it
 	d.ledger.start(now, q.rank)
+	s.started(now, it)
 	s.charge(now, q, it, it.cost)
-	q.standing.note(now, now.Sub(it.work.Arrived), s.target(q.rank))
 	q.count.running++
 	s.grants = append(s.grants, Grant{Request: it.work.Request, Database: d.id})
 }
@@ -298,5 +331,5 @@
 func (s *Scheduler) charge(now time.Time, q *queue, it *item, slots time.Duration) {
 	q.caller(it.work.Caller).usage.add(now, slots)
 	q.usage.add(now, slots)
-	q.drain[s.access(it.work.Kind)].add(now, slots)
+	q.drain[s.access(it.work.Kind)][it.class].add(now, slots)
 }
--- a/internal/core/rank/queue.go
+++ b/internal/core/rank/queue.go
@@ -12,6 +12,10 @@
 	work Work
 	// cost is the slot-time that the work is expected to take.
 	cost time.Duration
+	// target is when the answer loses a part of its worth; class says whether
+	// it is expected to be met.
+	target time.Time
+	class  class
 	// mask names the databases that may serve the work, by their index in the
 	// group, as of the last look.
 	mask uint64
@@ -39,6 +43,20 @@
 	return i.work.Request < j.work.Request
 }
 
+// class parts the work of a rank. Work that can no longer be answered inside
+// its target is served after all that can be: in a long flood a queue in order
+// of arrival would make every answer late.
+type class int
+
+// The values of class.
+const (
+	// classPrompt is work that is expected inside its target.
+	classPrompt class = iota
+	// classLate is work that is expected inside its deadline only.
+	classLate
+	classes
+)
+
 // -----------------------------------------------------------------------------
 // The line of one caller.
 
@@ -89,12 +107,15 @@
 // lets a full database block only the work that needs it.
 type lane struct {
 	mask  uint64
+	class class
 	lines []*line
-	by    map[model.CallerID]*line
+	// waiting counts the items in all lines.
+	waiting int
+	by      map[model.CallerID]*line
 }
 
-func newLane(mask uint64) *lane {
-	return &lane{mask: mask, by: map[model.CallerID]*line{}}
+func newLane(mask uint64, c class) *lane {
+	return &lane{mask: mask, class: c, by: map[model.CallerID]*line{}}
 }
 
 // Len implements heap.Interface.
@@ -128,6 +149,7 @@
 
 // add puts a waiting item into the line of its caller.
 func (l *lane) add(it *item, of *caller) {
+	l.waiting++
 	known := l.by[it.work.Caller]
 	if known == nil {
 		known = &line{caller: of, lane: l, items: []*item{it}}
@@ -143,6 +165,7 @@
 // remove takes an item out of its line.
 func (l *lane) remove(it *item) {
 	from := it.line
+	l.waiting--
 	heap.Remove(from, it.index)
 	if from.Len() == 0 {
 		heap.Remove(l, from.index)
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -77,6 +77,8 @@
 // Scheduler orders the work of one instance.
 type Scheduler struct {
 	self      model.InstanceID
+	way       string
+	peers     peers
 	limits    manifest.Limits
 	ranks     []manifest.Rank
 	floors    []float64
@@ -89,20 +91,34 @@
 	expiry    deadlines
 	expired   []model.RequestID
 	grants    []Grant
+	outbox    []message.SendPeer
 	order     []model.Rank
 }
 
+// Option changes how a scheduler works.
+type Option func(*Scheduler)
+
+// WithShare chooses how the instances divide slots, one of ShareNames.
+func WithShare(name string) Option { return func(s *Scheduler) { s.way = name } }
+
 // NewScheduler returns a scheduler for the instance self. It takes no work
 // before Configure.
-func NewScheduler(self model.InstanceID) *Scheduler {
-	return &Scheduler{
+func NewScheduler(self model.InstanceID, options ...Option) *Scheduler {
+	s := &Scheduler{
 		self:      self,
+		way:       defaultShare,
 		kinds:     map[string]*kind{},
 		groups:    map[model.GroupID]*group{},
 		databases: map[model.DatabaseID]*database{},
 		waiting:   map[model.RequestID]*item{},
 		running:   map[model.RequestID]*item{},
 	}
+	s.peers.until = map[model.InstanceID]time.Time{}
+	s.peers.set(time.Time{}, []model.InstanceID{self})
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Configure puts a manifest's ranks and limits in force. Waiting and running
@@ -128,6 +144,7 @@
 	for _, g := range s.groups {
 		g.growQueues(count, m.Kinds)
 	}
+	s.elect(now)
 }
 
 func (s *Scheduler) configureKinds(kinds []manifest.Kind) {
@@ -149,7 +166,7 @@
 func (s *Scheduler) configureGroup(now time.Time, declared manifest.Group, known map[model.DatabaseID]*database) {
 	g := s.groups[declared.Name]
 	if g == nil {
-		g = &group{id: declared.Name}
+		g = &group{id: declared.Name, share: newShare(s.way)}
 		s.groups[declared.Name] = g
 	}
 	s.sequence = append(s.sequence, g)
@@ -157,11 +174,13 @@
 		d := known[member.Name]
 		if d == nil {
 			d = &database{id: member.Name}
-			d.ledger.since = now
+			d.ledger.since, d.fleet.since = now, now
+			d.meter.since, d.fleetMeter.since = now, now
 		}
 		d.group = g
 		d.bit = 1 << i
 		d.ledger.grow(len(s.floors))
+		d.fleet.grow(len(s.floors))
 		g.databases = append(g.databases, d)
 		s.databases[d.id] = d
 	}
@@ -188,9 +207,6 @@
 	return max(longest*4/(3*bucketCount), time.Millisecond)
 }
 
-// SetPeers tells which instances are alive, this one included.
-func (s *Scheduler) SetPeers(time.Time, []model.InstanceID) {}
-
 // -----------------------------------------------------------------------------
 // What the manifest says.
 
@@ -212,6 +228,11 @@
 	return 0
 }
 
+// clamp returns the nearest rank that the manifest has.
+func (s *Scheduler) clamp(r model.Rank) model.Rank {
+	return min(max(r, 0), model.Rank(len(s.floors)-1))
+}
+
 // queueOf returns the queue of a work.
 func (g *group) queueOf(work *Work) *queue {
 	return g.queues[min(max(int(work.Rank), 0), len(g.queues)-1)]
@@ -227,10 +248,10 @@
 		return Refusal{Why: message.RefuseUnknownGroup, Detail: string(work.Group)}, false
 	}
 	q := g.queueOf(&work)
-	cost := s.kind(work.Kind).cost(now)
-	refusal, ok := s.admit(now, g, q, &work, cost)
+	it := &item{work: work, cost: s.kind(work.Kind).cost(now)}
+	refusal, ok := s.admit(now, g, q, it)
 	if ok {
-		s.enter(now, q, &item{work: work, cost: cost})
+		s.enter(now, q, it)
 	}
 	return refusal, ok
 }
@@ -244,7 +265,7 @@
 	}
 	s.Finish(now, request, ending)
 	g := s.groups[it.work.Group]
-	s.enter(now, g.queueOf(&it.work), &item{work: it.work, cost: it.cost})
+	s.enter(now, g.queueOf(&it.work), &item{work: it.work, cost: it.cost, target: it.target, class: it.class})
 }
 
 // Withdraw takes a request out of the queue. It reports whether it was there.
@@ -283,8 +304,13 @@
 func (s *Scheduler) Grant(now time.Time, candidates Candidates) []Grant {
 	s.expire(now)
 	s.grants = nil
+	s.peers.refresh(now)
 	for _, g := range s.sequence {
 		s.grantGroup(now, g, candidates)
+		s.outbox = append(s.outbox, s.messages(now, g)...)
+		if g.isArbiter() {
+			s.grantGroup(now, g, candidates)
+		}
 	}
 	return s.grants
 }
@@ -299,6 +325,7 @@
 	q := s.groups[it.work.Group].queueOf(&it.work)
 	took := now.Sub(it.started)
 	it.database.ledger.stop(now, q.rank)
+	s.finished(it)
 	s.charge(now, q, it, took-it.cost)
 	q.count.running--
 	if ending.Failed {
@@ -315,27 +342,59 @@
 // -----------------------------------------------------------------------------
 // Slots.
 
-// isFree reports whether d has a slot for this instance.
-func (s *Scheduler) isFree(_ time.Time, d *database) bool {
-	return d.ledger.busy() < s.limits.Slots
-}
-
-// allows reports whether this instance may start work of a rank on d.
-func (s *Scheduler) allows(time.Time, *database, model.Rank) bool { return true }
+// isFree reports whether this instance may use one more slot of d.
+func (s *Scheduler) isFree(d *database) bool { return d.ledger.busy() < s.perInstance(d) }
 
-// slotsOf returns the slots that this instance may count on for an access.
-func (s *Scheduler) slotsOf(_ time.Time, g *group, a model.Access) float64 {
+// slotsOf returns the slots that this instance may count on for an access: its
+// equal share, or what it used lately where that is more.
+func (s *Scheduler) slotsOf(now time.Time, g *group, a model.Access) float64 {
+	databases := len(g.databases)
 	if a == model.AccessWrite {
-		return float64(s.limits.Slots)
+		databases = 1
+	}
+	equal := float64(s.limits.Slots*databases) / float64(max(1, len(s.peers.known)))
+	used := 0.0
+	for _, q := range g.queues {
+		used += q.drained(now, a)
 	}
-	return float64(s.limits.Slots * len(g.databases))
+	return max(equal, used)
 }
 
 // -----------------------------------------------------------------------------
 // Peers.
 
+// SetPeers tells which instances are alive, this one included.
+func (s *Scheduler) SetPeers(now time.Time, live []model.InstanceID) {
+	s.peers.set(now, live)
+	s.elect(now)
+}
+
+// elect adopts the arbiters that the live instances give.
+func (s *Scheduler) elect(now time.Time) {
+	for _, g := range s.sequence {
+		if way, ok := g.share.(*arbiterShare); ok {
+			way.elect(s, now, g)
+		}
+	}
+}
+
 // Hear takes in a Demand or Permit of a peer.
-func (s *Scheduler) Hear(time.Time, model.InstanceID, message.PeerMessage) {}
+func (s *Scheduler) Hear(now time.Time, from model.InstanceID, body message.PeerMessage) {
+	var id model.GroupID
+	switch body := body.(type) {
+	case message.Demand:
+		id = body.Group
+	case message.Permit:
+		id = body.Group
+	}
+	if g := s.groups[id]; g != nil {
+		s.hear(now, g, from, body)
+	}
+}
 
-// Messages returns what the peers shall hear now.
-func (s *Scheduler) Messages(time.Time) []message.SendPeer { return nil }
+// Messages returns what the peers shall hear now, as the last Grant left it.
+func (s *Scheduler) Messages(time.Time) []message.SendPeer {
+	out := s.outbox
+	s.outbox = nil
+	return out
+}
--- /dev/null
+++ b/internal/core/rank/share_arbiter.go
@@ -0,0 +1,278 @@
+package rank
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Times of leases.
+const (
+	// leaseValid is how long a lease holds without renewal.
+	leaseValid = 200 * time.Millisecond
+	// leaseGrace is how much longer the arbiter counts it as used.
+	leaseGrace = 50 * time.Millisecond
+	// leaseQuantum is how long a lease is kept while another instance waits
+	// for a slot of the same rank.
+	leaseQuantum = 25 * time.Millisecond
+	// permitKeep is the time after which a permit is repeated to an instance
+	// that asks.
+	permitKeep = 25 * time.Millisecond
+	// arbiterPatience is how long an instance waits for the arbiter's answer
+	// before it goes on with an equal share.
+	arbiterPatience = 100 * time.Millisecond
+)
+
+// arbiterShare lets one instance of the fleet, the group's arbiter, lease the
+// slots of the group's databases to the ranks that wait on all instances.
+// Nothing depends on the arbiter for safety: instances that do not hear from it
+// go on with an equal share.
+type arbiterShare struct {
+	holder holder
+	// bench is nil while another instance is the arbiter.
+	bench *bench
+}
+
+func newArbiterShare() *arbiterShare {
+	return &arbiterShare{holder: holder{returned: map[uint64]uint64{}}}
+}
+
+func (*arbiterShare) isShare() {}
+
+// elect adopts the arbiter that the live instances give.
+func (w *arbiterShare) elect(s *Scheduler, now time.Time, g *group) {
+	arbiter := s.peers.arbiter(g.id)
+	if arbiter == w.holder.arbiter {
+		return
+	}
+	w.holder.follow(arbiter)
+	w.bench = nil
+	if arbiter == s.self {
+		w.bench = newBench(s.self, now)
+	}
+}
+
+// hear takes in a Demand or Permit.
+func (w *arbiterShare) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, body message.PeerMessage) {
+	switch body := body.(type) {
+	case message.Demand:
+		if w.bench != nil {
+			w.bench.hear(s, now, g, from, &body)
+		}
+	case message.Permit:
+		if from == w.holder.arbiter {
+			w.holder.hear(s, now, &body)
+		}
+	}
+}
+
+// messages returns the demand of this instance, and the permits that it gives
+// as the arbiter.
+func (w *arbiterShare) messages(s *Scheduler, now time.Time, g *group) []message.SendPeer {
+	var out []message.SendPeer
+	demand, due := w.holder.demand(s, now, g)
+	switch {
+	case due && w.bench != nil:
+		w.bench.hear(s, now, g, s.self, &demand)
+	case due && w.holder.arbiter != "":
+		out = append(out, message.SendPeer{To: w.holder.arbiter, Body: demand})
+	}
+	if w.bench == nil {
+		return out
+	}
+	w.bench.decide(s, now, g)
+	for _, p := range w.bench.petitioners {
+		permit, due := w.bench.permit(now, g, p)
+		switch {
+		case due && p.id == s.self:
+			w.holder.hear(s, now, &permit)
+		case due:
+			out = append(out, message.SendPeer{To: p.id, Body: permit})
+		}
+	}
+	return out
+}
+
+// -----------------------------------------------------------------------------
+// The holder's side.
+
+// holder is the state of an instance that asks the arbiter for leases.
+type holder struct {
+	arbiter  model.InstanceID
+	sequence uint64
+	seen     uint64
+	// asked is when the oldest unanswered demand was sent, or zero.
+	asked time.Time
+	sent  time.Time
+	// told is the digest of the wants last sent.
+	told uint64
+	// urgent says that leases were given back, or that the arbiter is new.
+	urgent bool
+	leases []*heldLease
+	// returned holds the leases given back, with the demand that says so,
+	// until the arbiter has heard it.
+	returned map[uint64]uint64
+}
+
+// heldLease is a lease in the holder's hands.
+type heldLease struct {
+	number   uint64
+	database *database
+	rank     model.Rank
+	valid    time.Time
+	recall   bool
+	item     *item
+}
+
+// follow turns to another arbiter.
+func (h *holder) follow(arbiter model.InstanceID) {
+	h.arbiter = arbiter
+	h.seen = 0
+	h.asked = time.Time{}
+	h.urgent = true
+	clear(h.returned)
+}
+
+// idle returns a lease with which work of a rank may start on d.
+func (h *holder) idle(now time.Time, d *database, r model.Rank) *heldLease {
+	for _, l := range h.leases {
+		if l.database == d && l.rank == r && l.item == nil && !l.recall && now.Before(l.valid) {
+			return l
+		}
+	}
+	return nil
+}
+
+// allows reports whether work of a rank may start on d: under a lease, or under
+// the equal share while the arbiter does not answer.
+func (h *holder) allows(s *Scheduler, now time.Time, d *database, r model.Rank) bool {
+	if h.idle(now, d, r) != nil {
+		return true
+	}
+	return h.isAlone(now) && d.meter.allows(now, s.equalShare(d), d.ledger.busy())
+}
+
+// isAlone reports whether the arbiter has left demands unanswered for long.
+func (h *holder) isAlone(now time.Time) bool {
+	return !h.asked.IsZero() && now.Sub(h.asked) > arbiterPatience
+}
+
+// started binds a lease to the item that uses it.
+func (h *holder) started(now time.Time, it *item) {
+	r := it.database.group.queueOf(&it.work).rank
+	if l := h.idle(now, it.database, r); l != nil {
+		l.item = it
+	}
+}
+
+// finished frees the lease that an item used.
+func (h *holder) finished(it *item) {
+	for _, l := range h.leases {
+		if l.item == it {
+			l.item = nil
+			return
+		}
+	}
+}
+
+// hear takes in a permit.
+func (h *holder) hear(s *Scheduler, now time.Time, permit *message.Permit) {
+	if permit.Sequence <= h.seen {
+		return
+	}
+	h.seen = permit.Sequence
+	h.asked = time.Time{}
+	for number, sequence := range h.returned {
+		if sequence <= permit.Seen {
+			delete(h.returned, number)
+		}
+	}
+	listed := map[uint64]bool{}
+	for _, lease := range permit.Leases {
+		listed[lease.Lease] = true
+		h.accept(s, now.Add(permit.Valid), lease)
+	}
+	for _, l := range h.leases {
+		l.recall = l.recall || !listed[l.number]
+	}
+}
+
+// accept takes in or renews one lease.
+func (h *holder) accept(s *Scheduler, valid time.Time, lease message.Lease) {
+	if _, gone := h.returned[lease.Lease]; gone {
+		return
+	}
+	for _, l := range h.leases {
+		if l.number == lease.Lease {
+			l.valid, l.recall = valid, lease.Recall
+			return
+		}
+	}
+	d := s.databases[lease.Database]
+	if d == nil {
+		return
+	}
+	h.leases = append(h.leases, &heldLease{
+		number: lease.Lease, database: d, rank: lease.Rank, valid: valid, recall: lease.Recall,
+	})
+}
+
+// giveBack drops the leases that no waiting work can use.
+func (h *holder) giveBack() {
+	kept := h.leases[:0]
+	for _, l := range h.leases {
+		if l.item != nil {
+			kept = append(kept, l)
+			continue
+		}
+		h.returned[l.number] = h.sequence + 1
+		h.urgent = true
+	}
+	clear(h.leases[len(kept):])
+	h.leases = kept
+}
+
+// demand returns what the arbiter shall hear, and whether it is due. It is
+// called after Grant, so that a lease without work has no use here.
+func (h *holder) demand(s *Scheduler, now time.Time, g *group) (message.Demand, bool) {
+	h.giveBack()
+	wants := g.wants(now)
+	told := digest(now, wants, s.limits.Slots)
+	elapsed := now.Sub(h.sent)
+	active := len(wants) > 0 || len(h.leases) > 0
+	due := h.urgent || (told != h.told && elapsed >= demandGap) || (active && elapsed >= permitKeep)
+	if !due {
+		return message.Demand{}, false
+	}
+	h.sequence++
+	h.sent, h.told, h.urgent = now, told, false
+	if len(wants) > 0 && h.asked.IsZero() {
+		h.asked = now
+	}
+	demand := message.Demand{Group: g.id, Sequence: h.sequence, Seen: h.seen, Wants: wants}
+	for _, l := range h.leases {
+		demand.Held = append(demand.Held, message.HeldLease{Lease: l.number, Database: l.database.id, Rank: l.rank})
+	}
+	demand.Limits = s.lowered(g)
+	return demand, true
+}
+
+// digest tells whether wants differ in a way that matters to the arbiter.
+func digest(now time.Time, wants []message.Want, slots int) uint64 {
+	const coarse = 10 * time.Millisecond
+	sum := uint64(len(wants))
+	mix := func(n uint64) { sum = (sum ^ n) * 0x9e3779b97f4a7c15 }
+	for _, want := range wants {
+		mix(uint64(want.Rank) << 1)
+		if want.Late {
+			mix(1)
+		}
+		mix(uint64(min(want.Waiting, 2*slots)))
+		mix(uint64(now.Add(want.Slack).UnixNano() / int64(coarse)))
+		mix(xxhash.Sum64String(string(want.Databases[0])) + uint64(len(want.Databases)))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/rank/share_bench.go
@@ -0,0 +1,411 @@
+package rank
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// bench is the state of the instance that is a group's arbiter.
+type bench struct {
+	since       time.Time
+	petitioners []*petitioner
+	leases      []*lease
+	// number is the last lease's; its upper half tells arbiters apart.
+	number uint64
+	order  []model.Rank
+}
+
+// petitioner is what the arbiter knows of one instance.
+type petitioner struct {
+	id       model.InstanceID
+	sequence uint64
+	seen     uint64
+	heard    time.Time
+	wants    []want
+	limits   []message.SlotLimit
+	// permits counts the permits sent to the instance.
+	permits uint64
+	sent    time.Time
+	// changed says that the instance's leases are not what it was told.
+	changed bool
+}
+
+// want is one Want on the arbiter's clock.
+type want struct {
+	mask    uint64
+	rank    model.Rank
+	late    bool
+	waiting int
+	due     time.Time
+}
+
+// lease is one slot given to an instance.
+type lease struct {
+	number   uint64
+	to       *petitioner
+	database *database
+	rank     model.Rank
+	since    time.Time
+	expires  time.Time
+	// permit is the sequence of the first permit that lists it.
+	permit uint64
+	recall bool
+}
+
+func newBench(self model.InstanceID, now time.Time) *bench {
+	start := strconv.FormatInt(now.UnixNano(), 36)
+	return &bench{since: now, number: xxhash.Sum64String(string(self)+"/"+start) << 32}
+}
+
+// petitioner returns the state of an instance.
+func (b *bench) petitioner(id model.InstanceID) *petitioner {
+	for _, p := range b.petitioners {
+		if p.id == id {
+			return p
+		}
+	}
+	// Permits of a later reign count higher than those of an earlier one.
+	p := &petitioner{id: id, permits: uint64(b.since.UnixNano())}
+	b.petitioners = append(b.petitioners, p)
+	return p
+}
+
+// -----------------------------------------------------------------------------
+// Demands.
+
+// hear takes in a demand.
+func (b *bench) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, demand *message.Demand) {
+	p := b.petitioner(from)
+	if demand.Sequence <= p.sequence {
+		return
+	}
+	p.sequence, p.seen, p.heard = demand.Sequence, demand.Seen, now
+	p.limits = demand.Limits
+	p.wants = p.wants[:0]
+	for _, w := range demand.Wants {
+		p.wants = append(p.wants, want{
+			mask: g.maskOf(w.Databases), rank: s.clamp(w.Rank), late: w.Late, waiting: w.Waiting, due: now.Add(w.Slack),
+		})
+	}
+	b.settle(s, now, p, demand.Held)
+}
+
+// settle renews the leases that an instance still holds, frees those it gave
+// back, and adopts those it has from an earlier arbiter.
+func (b *bench) settle(s *Scheduler, now time.Time, p *petitioner, held []message.HeldLease) {
+	kept := b.leases[:0]
+	for _, l := range b.leases {
+		switch {
+		case l.to != p:
+		case isHeld(held, l.number):
+			l.expires = now.Add(leaseValid + leaseGrace)
+		case l.permit <= p.seen:
+			l.database.fleet.stop(now, l.rank)
+			p.changed = true
+			continue
+		}
+		kept = append(kept, l)
+	}
+	clear(b.leases[len(kept):])
+	b.leases = kept
+	for _, h := range held {
+		if d := s.databases[h.Database]; d != nil && !b.has(h.Lease) {
+			b.add(now, &lease{number: h.Lease, to: p, database: d, rank: s.clamp(h.Rank)})
+		}
+	}
+}
+
+func isHeld(held []message.HeldLease, number uint64) bool {
+	for _, h := range held {
+		if h.Lease == number {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bench) has(number uint64) bool {
+	for _, l := range b.leases {
+		if l.number == number {
+			return true
+		}
+	}
+	return false
+}
+
+// add counts a lease.
+func (b *bench) add(now time.Time, l *lease) {
+	l.since = now
+	l.expires = now.Add(leaseValid + leaseGrace)
+	l.permit = l.to.permits + 1
+	l.to.changed = true
+	l.database.fleet.start(now, l.rank)
+	b.leases = append(b.leases, l)
+}
+
+// expire frees the leases that were not renewed.
+func (b *bench) expire(now time.Time) {
+	kept := b.leases[:0]
+	for _, l := range b.leases {
+		if now.Before(l.expires) {
+			kept = append(kept, l)
+			continue
+		}
+		l.database.fleet.stop(now, l.rank)
+		l.to.changed = true
+	}
+	clear(b.leases[len(kept):])
+	b.leases = kept
+}
+
+// -----------------------------------------------------------------------------
+// Decisions.
+
+// decide gives free slots to the demand and recalls leases for demand that has
+// a better claim.
+func (b *bench) decide(s *Scheduler, now time.Time, g *group) {
+	b.expire(now)
+	if !b.isReady(s, now) {
+		return
+	}
+	for progress := true; progress; {
+		progress = false
+		for _, d := range g.databases {
+			if b.hasFree(s, now, d) && b.lend(s, now, d) {
+				progress = true
+			}
+		}
+	}
+	for _, d := range g.databases {
+		b.recall(s, now, d)
+	}
+}
+
+// isReady reports whether the arbiter knows which leases an earlier arbiter
+// gave: all live instances have spoken, or such leases have ended.
+func (b *bench) isReady(s *Scheduler, now time.Time) bool {
+	if now.Sub(b.since) > leaseValid+leaseGrace {
+		return true
+	}
+	for _, id := range s.peers.live {
+		if b.petitioner(id).heard.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// hasFree reports whether a slot of d may be lent. While instances are
+// unreachable, their share stays free for them.
+func (b *bench) hasFree(s *Scheduler, now time.Time, d *database) bool {
+	slots := float64(b.limit(s, d)) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
+	busy := d.fleet.busy()
+	return d.fleetMeter.allows(now, slots, max(0, busy-slotsAhead))
+}
+
+// limit returns the slots of d that all may use, as the most careful instance
+// sees it.
+func (b *bench) limit(s *Scheduler, d *database) int {
+	limit := s.limitOf(d)
+	for _, p := range b.petitioners {
+		for _, l := range p.limits {
+			if l.Database == d.id {
+				limit = max(1, min(limit, l.Slots))
+			}
+		}
+	}
+	return limit
+}
+
+// unmet returns how many requests of a want have no lease on its way.
+func (b *bench) unmet(p *petitioner, w *want) int {
+	n := w.waiting
+	for _, l := range b.leases {
+		if l.to == p && l.rank == w.rank && l.permit > p.seen && l.database.bit&w.mask != 0 {
+			n--
+		}
+	}
+	return n
+}
+
+// claim is a want that has a claim on a slot of a database.
+type claim struct {
+	from  *petitioner
+	want  *want
+	unmet int
+	due   time.Time
+	// full says that the instance has all the slots of the database that one
+	// instance may use: it can only change one rank for another.
+	full bool
+}
+
+// before reports whether c is served before other: prompt work before late
+// work, then the earliest deadline.
+func (c *claim) before(other *claim) bool {
+	if c.want.late != other.want.late {
+		return other.want.late
+	}
+	return c.due.Before(other.due)
+}
+
+// claimOf returns the best claim of a rank on d: the earliest deadline. For a
+// loan, it is one of an instance that is not full.
+func (b *bench) claimOf(s *Scheduler, d *database, r model.Rank, loan bool) (claim, bool) {
+	best, found := claim{}, false
+	for _, p := range b.petitioners {
+		full := b.heldBy(p, d) >= s.perInstance(d)
+		if full && loan {
+			continue
+		}
+		for i := range p.wants {
+			w := &p.wants[i]
+			if w.rank != r || w.mask&d.bit == 0 {
+				continue
+			}
+			n := b.unmet(p, w)
+			// What was lent already took the earliest deadlines of the want.
+			c := claim{from: p, want: w, unmet: n, due: w.due.Add(time.Duration(w.waiting-n) * defaultCost), full: full}
+			if n > 0 && (!found || c.before(&best)) {
+				best, found = c, true
+			}
+		}
+	}
+	return best, found
+}
+
+// heldBy counts the leases of an instance on d.
+func (b *bench) heldBy(p *petitioner, d *database) int {
+	n := 0
+	for _, l := range b.leases {
+		if l.to == p && l.database == d {
+			n++
+		}
+	}
+	return n
+}
+
+// lend gives one free slot of d to the best claim. It reports whether there
+// was one.
+func (b *bench) lend(s *Scheduler, now time.Time, d *database) bool {
+	b.order = d.fleet.order(now, s.floors, b.order)
+	for _, r := range b.order {
+		best, found := b.claimOf(s, d, r, true)
+		if !found {
+			continue
+		}
+		b.number++
+		b.add(now, &lease{number: b.number, to: best.from, database: d, rank: r})
+		return true
+	}
+	return false
+}
+
+// recall asks for leases on d back that have a worse claim than what waits.
+func (b *bench) recall(s *Scheduler, now time.Time, d *database) {
+	b.order = d.fleet.order(now, s.floors, b.order)
+	coming := b.recalled(d)
+	for place, r := range b.order {
+		best, found := b.claimOf(s, d, r, false)
+		if !found {
+			continue
+		}
+		for n := best.unmet; n > 0; n-- {
+			if coming > 0 {
+				coming--
+				continue
+			}
+			victim := b.victim(now, d, place, best)
+			if victim == nil {
+				break
+			}
+			victim.recall = true
+			victim.to.changed = true
+		}
+	}
+}
+
+// recalled counts the leases on d that are on their way back.
+func (b *bench) recalled(d *database) int {
+	n := 0
+	for _, l := range b.leases {
+		if l.database == d && l.recall {
+			n++
+		}
+	}
+	return n
+}
+
+// victim returns the lease that gives way to a claim of the rank at a place of
+// the order: one of a later rank at once, one of the same rank after its
+// quantum.
+func (b *bench) victim(now time.Time, d *database, place int, c claim) *lease {
+	var worst *lease
+	worstPlace := place
+	for _, l := range b.leases {
+		if l.database != d || l.recall || (c.full && l.to != c.from) {
+			continue
+		}
+		at := placeOf(b.order, l.rank)
+		if at < worstPlace || (at == place && !isOver(now, l, c)) {
+			continue
+		}
+		if worst == nil || at > worstPlace || l.since.Before(worst.since) {
+			worst, worstPlace = l, at
+		}
+	}
+	return worst
+}
+
+// isOver reports whether a lease has had its quantum and its holder's own work
+// may wait longer than the claim.
+func isOver(now time.Time, l *lease, c claim) bool {
+	if l.to == c.from || now.Sub(l.since) < leaseQuantum {
+		return false
+	}
+	for i := range l.to.wants {
+		w := &l.to.wants[i]
+		if w.rank != l.rank || w.mask&l.database.bit == 0 {
+			continue
+		}
+		if own := (claim{want: w, due: w.due}); own.before(&c) {
+			return false
+		}
+	}
+	return true
+}
+
+func placeOf(order []model.Rank, r model.Rank) int {
+	for place, known := range order {
+		if known == r {
+			return place
+		}
+	}
+	return len(order)
+}
+
+// -----------------------------------------------------------------------------
+// Permits.
+
+// permit returns what an instance shall hear, and whether it is due.
+func (b *bench) permit(now time.Time, g *group, p *petitioner) (message.Permit, bool) {
+	asks := p.heard.After(p.sent) && now.Sub(p.sent) >= permitKeep
+	if !p.changed && !asks {
+		return message.Permit{}, false
+	}
+	p.permits++
+	p.sent, p.changed = now, false
+	permit := message.Permit{Group: g.id, Sequence: p.permits, Seen: p.sequence, Valid: leaseValid}
+	for _, l := range b.leases {
+		if l.to == p {
+			permit.Leases = append(permit.Leases, message.Lease{
+				Lease: l.number, Database: l.database.id, Rank: l.rank, Recall: l.recall,
+			})
+		}
+	}
+	return permit, true
+}
--- /dev/null
+++ b/internal/standin/flood/baseline.go
@@ -0,0 +1,117 @@
+package flood
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/rank"
+)
+
+// baselineName names the baseline among the ways.
+const baselineName = "baseline"
+
+// baseline is a first-come-first-served pool that has the same number of
+// connections to each database on every instance, at least one, and refuses
+// nothing.
+type baseline struct {
+	slots   int
+	waiting []rank.Work
+	running map[model.RequestID]run
+	busy    map[model.DatabaseID]int
+}
+
+type run struct {
+	work     rank.Work
+	database model.DatabaseID
+}
+
+func newBaseline(m *manifest.Manifest, instances int) *baseline {
+	return &baseline{
+		slots:   max(1, m.Limits.Slots/instances),
+		running: map[model.RequestID]run{},
+		busy:    map[model.DatabaseID]int{},
+	}
+}
+
+// Offer takes everything in.
+func (b *baseline) Offer(_ time.Time, work rank.Work) (rank.Refusal, bool) {
+	b.waiting = append(b.waiting, work)
+	return rank.Refusal{}, true
+}
+
+// Requeue puts a request at the end of the queue.
+func (b *baseline) Requeue(now time.Time, request model.RequestID, ending rank.Ending) {
+	work := b.running[request].work
+	b.Finish(now, request, ending)
+	b.waiting = append(b.waiting, work)
+}
+
+// Expired drops what has passed its deadline.
+func (b *baseline) Expired(now time.Time) []model.RequestID {
+	var gone []model.RequestID
+	kept := b.waiting[:0]
+	for _, work := range b.waiting {
+		if now.Before(work.Deadline) {
+			kept = append(kept, work)
+			continue
+		}
+		gone = append(gone, work.Request)
+	}
+	b.waiting = kept
+	return gone
+}
+
+// Grant starts work in the order of arrival. It stops looking once all
+// databases are busy.
+func (b *baseline) Grant(_ time.Time, candidates rank.Candidates) []rank.Grant {
+	var grants []rank.Grant
+	kept := b.waiting[:0]
+	for i, work := range b.waiting {
+		if b.isFull() {
+			kept = append(kept, b.waiting[i:]...)
+			break
+		}
+		database, found := b.free(candidates(work))
+		if !found {
+			kept = append(kept, work)
+			continue
+		}
+		b.busy[database]++
+		b.running[work.Request] = run{work: work, database: database}
+		grants = append(grants, rank.Grant{Request: work.Request, Database: database})
+	}
+	b.waiting = kept
+	return grants
+}
+
+func (b *baseline) isFull() bool {
+	for i := range Consortium.Databases {
+		if b.busy[databaseName(i)] < b.slots {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *baseline) free(databases []model.DatabaseID) (model.DatabaseID, bool) {
+	for _, database := range databases {
+		if b.busy[database] < b.slots {
+			return database, true
+		}
+	}
+	return "", false
+}
+
+// Finish frees a slot.
+func (b *baseline) Finish(_ time.Time, request model.RequestID, _ rank.Ending) {
+	b.busy[b.running[request].database]--
+	delete(b.running, request)
+}
+
+// Hear hears nothing.
+func (b *baseline) Hear(time.Time, model.InstanceID, message.PeerMessage) {}
+
+// Messages says nothing.
+func (b *baseline) Messages(time.Time) []message.SendPeer { return nil }
--- /dev/null
+++ b/internal/standin/flood/flood.go
@@ -0,0 +1,210 @@
+// Package flood measures how schedulers of many instances act together when one
+// rank of work floods in, on virtual time.
+//
+// # What flows in and out
+//
+// A Scenario flows in: a deployment's size, a rank that floods, how far the
+// offered work is above what the databases serve, and what is wrong with a
+// database. One group is simulated, since groups share nothing. Requests arrive
+// by a Poisson process of a fixed seed at the instances, each of which runs the
+// scheduler of core/rank (or the baseline, a first-come-first-served pool with
+// fixed equal shares). Messages between instances and to databases take the
+// one-way delay between availability zones. A Result flows out: what each rank
+// got. The same scenario gives the same result on every run.
+//
+// The package is no cluster simulator: there are no sessions, positions,
+// failovers or connections, only slots, delays and service times.
+//
+// # Usage
+//
+//	result := flood.Run(flood.Scenario{Place: flood.Consortium, Way: "arbiter", Rank: 2, Load: 10, Seed: 1})
+//	fmt.Println(result.Ranks[0].Inside())
+package flood
+
+import (
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// -----------------------------------------------------------------------------
+// Sizes.
+
+// Place is the size of a deployment.
+type Place struct {
+	Name        string
+	Zones       int
+	Instances   int
+	Databases   int
+	Slots       int
+	Connections int
+	// Delay is the one-way delay between availability zones.
+	Delay time.Duration
+}
+
+// nearDelay is the one-way delay inside an availability zone.
+const nearDelay = 200 * time.Microsecond
+
+// The deployments of today.
+var (
+	Consortium = Place{
+		Name: "handicap-db", Zones: 3, Instances: 6, Databases: 3, Slots: 3, Connections: 20,
+		Delay: time.Millisecond,
+	}
+	Reparto = Place{
+		Name: "libro-reparto", Zones: 4, Instances: 7, Databases: 3, Slots: 2, Connections: 30,
+		Delay: 1500 * time.Microsecond,
+	}
+)
+
+// rankLoad is how one rank behaves: its share of the offered slot-time when
+// nothing floods, and the slot-time of one request.
+type rankLoad struct {
+	share float64
+	mean  time.Duration
+}
+
+// loads has one entry for each rank of Manifest. A third of each rank's
+// slot-time is writes, so that the primary is no narrower than the replicas.
+var loads = []rankLoad{
+	{share: 0.2, mean: 8 * time.Millisecond},
+	{share: 0.5, mean: 5 * time.Millisecond},
+	{share: 0.3, mean: 20 * time.Millisecond},
+}
+
+// writeShare is the part of the requests that go to the primary.
+const writeShare = 1.0 / 3
+
+// baseLoad is the offered work, as a part of capacity, of all ranks together
+// when nothing floods.
+const baseLoad = 0.5
+
+// Manifest returns the manifest of a deployment.
+func Manifest(place Place) *manifest.Manifest {
+	m := &manifest.Manifest{
+		Service: place.Name,
+		Ranks: []manifest.Rank{
+			{Name: "urgent", Target: 150 * time.Millisecond, Worth: 10, Floor: 0.3},
+			{Name: "ordinary", Target: 300 * time.Millisecond, Worth: 3, Floor: 0.2},
+			{Name: "background", Target: 2 * time.Second, Worth: 1, Floor: 0.1},
+		},
+		Limits: manifest.Limits{
+			Slots: place.Slots, Connections: place.Connections, Reserve: 2, Open: 12 * time.Millisecond,
+		},
+	}
+	deadlines := []time.Duration{time.Second, 2 * time.Second, 10 * time.Second}
+	for r, declared := range m.Ranks {
+		for _, access := range []model.Access{model.AccessWrite, model.AccessRead} {
+			m.Kinds = append(m.Kinds, manifest.Kind{
+				Name: declared.Name + "-" + access.String(), Rank: model.Rank(r), Access: access, Deadline: deadlines[r],
+			})
+		}
+	}
+	group := manifest.Group{Name: "group"}
+	for i := range place.Databases {
+		group.Databases = append(group.Databases, manifest.Database{Name: databaseName(i)})
+	}
+	m.Groups = []manifest.Group{group}
+	return m
+}
+
+func databaseName(i int) model.DatabaseID { return model.DatabaseID(rune('a' + i)) }
+
+// -----------------------------------------------------------------------------
+// Scenarios.
+
+// Scenario is one run.
+type Scenario struct {
+	Place Place
+	// Way is "baseline" or one of rank.ShareNames.
+	Way string
+	// Rank is the rank that floods.
+	Rank model.Rank
+	// Load is the offered work of all ranks as a part of capacity during the
+	// flood.
+	Load float64
+	Seed uint64
+	// Slow is how many times slower the last database is during the flood;
+	// below 1 it is as ever.
+	Slow float64
+	// SlowPrimary lets the primary be the slow or failing one.
+	SlowPrimary bool
+	// Failing is the part of the requests that the same database answers with
+	// an error at once during the flood.
+	Failing float64
+	// FixedLimits turns adaptive limits off.
+	FixedLimits bool
+	// Skewed lets all of the flood arrive at one instance.
+	Skewed bool
+}
+
+// Times of a run.
+const (
+	floodStart = 3 * time.Second
+	floodEnd   = 11 * time.Second
+	runEnd     = 17 * time.Second
+	// settleTime is left out of the figures at the beginning of the flood.
+	settleTime = 1 * time.Second
+	// tickTime is the longest time between two ticks of an instance.
+	tickTime = 5 * time.Millisecond
+)
+
+// capacity returns the slot-time that the databases give in a second.
+func (s *Scenario) capacity() float64 { return float64(s.Place.Databases * s.Place.Slots) }
+
+// arrivals returns the requests of a rank in a second.
+func (s *Scenario) arrivals(r model.Rank, flooding bool) float64 {
+	part := loads[r].share * baseLoad
+	if flooding && r == s.Rank {
+		part += max(0, s.Load-baseLoad)
+	}
+	return part * s.capacity() / loads[r].mean.Seconds()
+}
+
+// -----------------------------------------------------------------------------
+// Results.
+
+// RankResult is what one rank got during the flood.
+type RankResult struct {
+	// Offered, Inside, Late, Refused and Failed count requests that arrived
+	// during the flood: all of them, those answered inside the target, those
+	// answered after it, those refused or expired, those answered with an
+	// error.
+	Offered, Inside, Late, Refused, Failed int
+	// Worst is the latency that 99% of the answers stayed under.
+	Worst time.Duration
+}
+
+// InsideShare returns the part of the offered requests that were answered inside the
+// target.
+func (r *RankResult) InsideShare() float64 {
+	if r.Offered == 0 {
+		return 1
+	}
+	return float64(r.Inside) / float64(r.Offered)
+}
+
+// Result is what a run gave.
+type Result struct {
+	Scenario Scenario
+	Ranks    []RankResult
+	// Useful is the slot-time of the answers inside their target, as a part
+	// of capacity.
+	Useful float64
+	// UsefulBy has the same by rank.
+	UsefulBy []float64
+	// OfferedBy is the offered slot-time by rank, as a part of capacity.
+	OfferedBy []float64
+	// Worth is the worth of the answers inside their target, as a part of the
+	// best possible for the capacity.
+	Worth float64
+	// Recovery is the time from the end of the flood until at least 99% of
+	// what arrives in any rank is answered inside its target again.
+	Recovery time.Duration
+	// Beyond is the greatest number of requests that were at one database or
+	// on the way to it, beyond its slots.
+	Beyond int
+	// Messages is the number of messages that one instance sent in a second.
+	Messages float64
+}
