Keep floors in the time that a slot could be used, and two requests ahead

Waiting times at the door count the faster of two ways in which a rank is served, by urgency or by its floor.

go test ./internal/standin/flood -ways arbiter -loads 1,10 -v

--- a/internal/core/rank/admission.go
+++ b/internal/core/rank/admission.go
@@ -173,21 +173,26 @@
 type waits struct{ prompt, late time.Duration }
 
 // ahead estimates how long work waits for its slot, given what is before it and
-// the rate at which the rank is served. Late work is served at the rate that
-// prompt work leaves.
+// the rate at which the rank is served. The rank is served in two ways, of which
+// the faster counts: after all work of more urgent ranks, with the slots that
+// those leave; or by its floor and what it used lately, whatever waits in other
+// ranks. Late work is served at the rate that prompt work leaves.
 func (s *Scheduler) ahead(now time.Time, g *group, q *queue, work *Work) waits {
 	a := s.access(work.Kind)
 	slots := s.slotsOf(now, g, a)
 	prompt := q.backlog[a][classPrompt].ahead(now, work.Deadline)
-	left := slots
+	late := prompt + q.backlog[a][classLate].ahead(now, work.Deadline)
+	before, left := time.Duration(0), slots
 	for _, other := range g.queues[:q.rank] {
-		prompt += other.backlog[a][classPrompt].total()
+		before += other.backlog[a][classPrompt].total()
 		left -= other.drained(now, a)
 	}
-	rate := max(left, s.floors[q.rank]*slots, q.drained(now, a))
-	late := prompt + q.backlog[a][classLate].ahead(now, work.Deadline)
-	lateRate := rate - q.drain[a][classPrompt].at(now)/window.Seconds()
-	return waits{prompt: waitFor(prompt, rate), late: waitFor(late, lateRate)}
+	kept := max(s.floors[q.rank]*slots, q.drained(now, a))
+	used := q.drain[a][classPrompt].at(now) / window.Seconds()
+	return waits{
+		prompt: min(waitFor(before+prompt, left), waitFor(prompt, kept)),
+		late:   min(waitFor(before+late, left-used), waitFor(late, kept-used)),
+	}
 }
 
 // drained returns the slots that the rank used on average over the window.
--- a/internal/core/rank/limit.go
+++ b/internal/core/rank/limit.go
@@ -7,7 +7,7 @@
 
 // slotsAhead is the number of requests that all instances together may have on
 // their way to a database beyond its slots.
-var slotsAhead = 0
+var slotsAhead = 2
 
 // limitOf returns the slots of d that all instances together should use.
 func (s *Scheduler) limitOf(*database) int { return s.limits.Slots }
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/share_bench.go
@@ -31,6 +31,9 @@
 	// permits counts the permits sent to the instance.
 	permits uint64
 	sent    time.Time
+	// trip is the shortest time lately from a permit to the demand that has
+	// seen it: the part of a lease in which nothing can run.
+	trip time.Duration
 	// changed says that the instance's leases are not what it was told.
 	changed bool
 }
@@ -84,6 +87,7 @@
 	if demand.Sequence <= p.sequence {
 		return
 	}
+	p.measure(now, demand.Seen)
 	p.sequence, p.seen, p.heard = demand.Sequence, demand.Seen, now
 	p.limits = demand.Limits
 	p.wants = p.wants[:0]
@@ -95,6 +99,25 @@
 	b.settle(s, now, p, demand.Held)
 }
 
+// maxTrip bounds what is taken for the way there and back, and tripRises is the
+// inverse of the part by which it rises with each sample.
+const (
+	maxTrip   = 10 * time.Millisecond
+	tripRises = 64
+)
+
+// measure takes in how long the newest permit took to be seen.
+func (p *petitioner) measure(now time.Time, seen uint64) {
+	if seen != p.permits || p.seen == seen {
+		return
+	}
+	p.trip += p.trip / tripRises
+	sample := min(now.Sub(p.sent), maxTrip)
+	if p.trip == 0 || sample < p.trip {
+		p.trip = sample
+	}
+}
+
 // settle renews the leases that an instance still holds, frees those it gave
 // back, and adopts those it has from an earlier arbiter.
 func (b *bench) settle(s *Scheduler, now time.Time, p *petitioner, held []message.HeldLease) {
@@ -106,6 +129,7 @@
 			l.expires = now.Add(leaseValid + leaseGrace)
 		case l.permit <= p.seen:
 			l.database.fleet.stop(now, l.rank)
+			l.database.fleet.refund(l.rank, p.trip)
 			p.changed = true
 			continue
 		}
@@ -361,18 +385,21 @@
 	return worst
 }
 
-// isOver reports whether a lease has had its quantum and its holder's own work
-// may wait longer than the claim.
+// isOver reports whether a lease gives way to a claim of its rank: at once where
+// its holder has only late work left for it and the claim is prompt, and after
+// its quantum where the holder's own work may wait longer than the claim.
 func isOver(now time.Time, l *lease, c claim) bool {
-	if l.to == c.from || now.Sub(l.since) < leaseQuantum {
+	if l.to == c.from {
 		return false
 	}
+	quantum := now.Sub(l.since) >= leaseQuantum
 	for i := range l.to.wants {
 		w := &l.to.wants[i]
 		if w.rank != l.rank || w.mask&l.database.bit == 0 {
 			continue
 		}
-		if own := (claim{want: w, due: w.due}); own.before(&c) {
+		own := claim{want: w, due: w.due}
+		if own.before(&c) || (!quantum && w.late == c.want.late) {
 			return false
 		}
 	}
--- a/internal/core/rank/share_demand.go
+++ b/internal/core/rank/share_demand.go
@@ -140,7 +140,7 @@
 			all[r] += n
 		}
 	}
-	limit := float64(s.limitOf(d))
+	limit := float64(s.limitOf(d) + slotsAhead)
 	known := float64(max(1, len(s.peers.known)))
 	left := limit * (1 - float64(reserved)/known)
 	given := make([]float64, len(all))
--- a/internal/core/rank/usage.go
+++ b/internal/core/rank/usage.go
@@ -80,6 +80,11 @@
 	l.running[r]--
 }
 
+// refund takes back slot-time in which a slot was held but could not be used.
+func (l *ledger) refund(r model.Rank, slots time.Duration) {
+	l.used[r] = max(0, l.used[r]-slots.Seconds())
+}
+
 // total returns the slot-time of all ranks.
 func (l *ledger) total() float64 {
 	sum := 0.0
--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -194,6 +194,9 @@
 	Useful float64
 	// UsefulBy has the same by rank.
 	UsefulBy []float64
+	// HeldBy is the part of the used slot-time that each rank had, with the way
+	// there and back. It is what floors are about.
+	HeldBy []float64
 	// OfferedBy is the offered slot-time by rank, as a part of capacity.
 	OfferedBy []float64
 	// Worth is the worth of the answers inside their target, as a part of the
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -75,6 +75,8 @@
 	arrived time.Duration
 	service time.Duration
 	tries   int
+	// sent is when the last try was sent.
+	sent time.Duration
 }
 
 // instance is one instance of the product.
@@ -117,6 +119,8 @@
 	result    Result
 	worst     [][]time.Duration
 	messages  int
+	// held is the slot-time that each rank had, with the way there and back.
+	held []time.Duration
 	// bins count, for 100 ms of arrival each, what was offered and what was
 	// inside the target, by rank.
 	bins [][]bin
@@ -153,6 +157,7 @@
 		random:   rand.New(rand.NewPCG(scenario.Seed, 1)),
 	}
 	w.result = Result{Scenario: scenario, Ranks: make([]RankResult, len(loads))}
+	w.held = make([]time.Duration, len(loads))
 	w.worst = make([][]time.Duration, len(loads))
 	for range loads {
 		w.bins = append(w.bins, make([]bin, runEnd/binTime+1))
@@ -331,6 +336,7 @@
 			continue
 		}
 		d.inUse++
+		req.sent = w.now
 		w.result.Beyond = max(w.result.Beyond, d.inUse-w.scenario.Place.Slots)
 		w.after(w.delay(i.zone, d.zone), func() { w.receive(d, job{from: i, req: req}) })
 	}
@@ -365,10 +371,9 @@
 		d.line = d.line[1:]
 		w.receive(d, next)
 	}
-	sent := w.now
 	w.after(w.delay(d.zone, j.from.zone), func() {
 		d.inUse--
-		w.answered(d, j, failed, sent)
+		w.answered(j, failed)
 	})
 }
 
@@ -376,10 +381,12 @@
 const maxTries = 3
 
 // answered takes an answer in at the instance.
-func (w *world) answered(d *database, j job, failed bool, _ time.Duration) {
-	_ = d
+func (w *world) answered(j job, failed bool) {
 	j.req.tries++
-	ending := rank.Ending{Elapsed: j.req.service, Failed: failed}
+	ending := rank.Ending{Elapsed: w.now - j.req.sent, Failed: failed}
+	if w.now >= floodStart+settleTime && w.now < floodEnd {
+		w.held[j.req.rank] += w.now - j.req.sent
+	}
 	switch {
 	case failed && j.req.tries < maxTries:
 		j.from.schedule.Requeue(w.clock(), j.req.id, ending)
@@ -451,12 +458,26 @@
 		worth += float64(result.Inside) * w.manifest.Ranks[r].Worth
 		result.Worst = percentile(w.worst[r], 0.99)
 	}
+	w.result.HeldBy = shares(w.held)
 	w.result.Worth = worth / w.best()
 	w.result.Recovery = w.recovery()
 	w.result.Messages = float64(w.messages) / runEnd.Seconds() / float64(len(w.instances))
 	return w.result
 }
 
+// shares returns the parts of a sum.
+func shares(amounts []time.Duration) []float64 {
+	sum := time.Duration(1)
+	for _, amount := range amounts {
+		sum += amount
+	}
+	var parts []float64
+	for _, amount := range amounts {
+		parts = append(parts, float64(amount)/float64(sum))
+	}
+	return parts
+}
+
 // best returns the worth of serving the most worth for its slot-time first, up
 // to the capacity.
 func (w *world) best() float64 {
