--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -36,12 +36,18 @@
 	message.ManifestWanted{Above: 4},
 	message.GroupNews{Group: "ratings", Row: []byte("row"), Record: []byte("rec")},
 	message.DatabaseLeaving{Database: "ratings-a", Leaving: true},
-	message.Demand{Group: "ratings", Sequence: 9, Wants: []message.Want{
-		{Database: "ratings-a", Rank: 1, Waiting: 3, Running: 2, Slack: -time.Second},
-	}},
-	message.Permit{Group: "ratings", Sequence: 9, Valid: time.Second, Slots: []message.PermitSlots{
-		{Database: "ratings-a", Rank: 1, Slots: 2},
-	}},
+	message.Demand{
+		Group: "ratings", Sequence: 9, Seen: 8,
+		Wants: []message.Want{
+			{Databases: []model.DatabaseID{"ratings-a", "ratings-b"}, Rank: 1, Late: true, Waiting: 3, Slack: -time.Second},
+		},
+		Held:   []message.HeldLease{{Lease: 70, Database: "ratings-a", Rank: 1}},
+		Limits: []message.SlotLimit{{Database: "ratings-b", Slots: 1}},
+	},
+	message.Permit{
+		Group: "ratings", Sequence: 9, Seen: 7, Valid: time.Second,
+		Leases: []message.Lease{{Lease: 70, Database: "ratings-a", Rank: 1, Recall: true}},
+	},
 }
 
 func TestBytesOfEachMessage(t *testing.T) {
