--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -59,7 +59,7 @@
 	o := &s.work.outgoing
 	o.reset()
 	if r.first {
-		o.prelude(r.conn, r.dispatch)
+		o.prelude(r.conn, r.dispatch, b.extended)
 	}
 	o.body(r.conn, b)
 	kept := r.first && b.isSetting()
@@ -102,7 +102,7 @@
 
 // mayCommit reports whether the batch, once sent, may have committed something.
 func mayCommit(r *request, b *batch) bool {
-	if r.dispatch.Access == model.AccessRead {
+	if r.dispatch.Access == model.AccessRead || !b.runs() {
 		return false
 	}
 	if r.first && !b.traits.opensTransaction() {
@@ -185,6 +185,7 @@
 	r.passed = true
 	if r.status != statusIdle {
 		s.request = r
+		s.current.Store(0)
 		return err
 	}
 	if end.failure != nil {
