--- a/internal/core/engine/system_watch.go
+++ b/internal/core/engine/system_watch.go
@@ -62,6 +62,9 @@
 	if status.Leaving && !d.isLeaving() {
 		e.noteLeaving(d, "database")
 	}
+	if answered.Asked.After(d.hintedAt) {
+		d.hinted = false
+	}
 	d.status = status
 	d.applied = status.Applied
 	d.known = true
@@ -69,6 +72,7 @@
 	d.heard = e.now
 	d.failing = time.Time{}
 	e.adoptTerm(d)
+	d.group.refreshProof()
 	e.measureLag(d)
 	e.sampleGroup(d.group)
 }
@@ -128,11 +132,10 @@
 
 // sampleGroup keeps the proof that the latest answers give together.
 func (e *Engine) sampleGroup(g *group) {
-	at, found := g.provenAt()
-	if !found {
+	if g.proof.IsZero() {
 		return
 	}
-	g.addSample(e.now, sample{at: at, position: g.primary.status.Received})
+	g.addSample(e.now, sample{at: g.proof, position: g.primary.status.Received})
 }
 
 // measureLag narrows the estimate of how long a replica takes to show a commit:
--- a/internal/core/engine/world_test.go
+++ b/internal/core/engine/world_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"sort"
-	"strings"
 	"testing"
 	"time"
 
@@ -347,8 +346,10 @@
 		if peer == nil || peer == n || !n.world.linked(n.name, name) {
 			continue
 		}
-		hello := message.Heartbeat{Instance: model.InstanceID(n.name), Zone: "z", Peer: peerAddress(indexOf(n.name)), Manifest: n.number}
-		n.world.after(n.world.delay(), func() { peer.post(message.PeerHeard{From: model.InstanceID(n.name), Body: hello}) })
+		n.world.after(n.world.delay(), func() {
+			n.post(message.PeerLinked{Peer: model.InstanceID(peer.name)})
+			peer.post(message.PeerLinked{Peer: model.InstanceID(n.name)})
+		})
 	}
 }
 
@@ -390,14 +391,3 @@
 	}
 	n.world.notes = append(n.world.notes, fmt.Sprintf("%s %s", n.world.now.Format("05.000"), line))
 }
-
-// notesWith returns the kept log lines that hold a text.
-func (w *world) notesWith(text string) []string {
-	var found []string
-	for _, line := range w.notes {
-		if strings.Contains(line, text) {
-			found = append(found, line)
-		}
-	}
-	return found
-}
