Assemble an instance: serve runs the core between its edges

Cause: the parts stood alone; nothing made a process of them. Change: node/serve builds logger, engine, runner and the edges by fx from the settings and supervises them: each reports its end, the edge towards callers starts last and ends first. SIGTERM or SIGINT drains, a second one ends the process at once, a part that fails ends it with a typed error. The command line speaks to instances by edge/operator's client, in place of its own. An instance without an operators' token warns; peers' addresses need a port.

--- a/internal/command/proxy/operator.go
+++ b/internal/command/proxy/operator.go
@@ -23,7 +23,7 @@
 type operatorFlags struct {
 	Address netip.AddrPort `default:"127.0.0.1:7480" env:"EELGRASSFOLD_OPERATOR" help:"Operators' address of the instance."`
 	Token   string         `env:"EELGRASSFOLD_TOKEN" placeholder:"REFERENCE" help:"Token of the operators, as file:PATH or env:NAME."`
-	Timeout time.Duration  `default:"10s" help:"Time to wait for the answer."`
+	Timeout time.Duration  `default:"15s" help:"Time to wait for the answer."`
 }
 
 // dial returns the instance that the flags name, and a context for one call.
@@ -33,7 +33,7 @@
 		return nil, nil, nil, err
 	}
 	ctx, cancel := context.WithTimeout(console.Context, f.Timeout)
-	return &httpInstance{address: f.Address, token: token}, ctx, cancel, nil
+	return newHTTPInstance(f.Address, token), ctx, cancel, nil
 }
 
 func (f *operatorFlags) loadToken() (string, error) {
--- a/internal/command/proxy/operator_http.go
+++ b/internal/command/proxy/operator_http.go
@@ -1,118 +1,123 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
-	"strconv"
-	"strings"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/operator"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
 )
 
-// answerLimit is the greatest answer that is read, in bytes.
-const answerLimit = 16 << 20
-
-// httpInstance asks an instance over HTTP.
+// httpInstance asks an instance over HTTP and tells its failures apart.
 type httpInstance struct {
 	address netip.AddrPort
-	token   string
+	client  *operator.Client
+}
+
+func newHTTPInstance(address netip.AddrPort, token string) *httpInstance {
+	return &httpInstance{address: address, client: operator.NewClient(address, token)}
 }
 
 // Status implements instance.
 func (h *httpInstance) Status(ctx context.Context) (report status.Status, err error) {
-	err = h.call(ctx, http.MethodGet, "/status", nil, nil, &report)
-	return report, err
+	body, err := h.client.Status(ctx)
+	return report, h.decode(body, err, &report)
 }
 
 // Logbook implements instance.
 func (h *httpInstance) Logbook(ctx context.Context, group string) (report status.Logbook, err error) {
-	err = h.call(ctx, http.MethodGet, "/logbook", url.Values{"group": {group}}, nil, &report)
-	return report, err
+	body, err := h.client.Logbook(ctx, group)
+	return report, h.decode(body, err, &report)
 }
 
 // Manifest implements instance.
 func (h *httpInstance) Manifest(ctx context.Context) (report status.Manifest, err error) {
-	err = h.call(ctx, http.MethodGet, "/manifest", nil, nil, &report)
-	return report, err
-}
-
-// Submit implements instance.
-func (h *httpInstance) Submit(ctx context.Context, body []byte, expected uint64, who string) (uint64, error) {
-	query := url.Values{"expected": {strconv.FormatUint(expected, 10)}, "who": {who}}
-	var accepted status.Manifest
-	err := h.call(ctx, http.MethodPost, "/manifest", query, body, &accepted)
-	return accepted.Number, err
+	body, err := h.client.Manifest(ctx)
+	return report, h.decode(body, err, &report)
 }
 
 // Drain implements instance.
 func (h *httpInstance) Drain(ctx context.Context) error {
-	return h.call(ctx, http.MethodPost, "/drain", nil, nil, nil)
+	if err := h.client.Drain(ctx); err != nil {
+		return h.changeFailure(err)
+	}
+	return nil
 }
 
-// call sends one request and decodes the answer into result, where it is not
-// nil. Its errors are failures.
-func (h *httpInstance) call(ctx context.Context, method, path string, query url.Values, body []byte, result any) error {
-	target := url.URL{Scheme: "http", Host: h.address.String(), Path: path, RawQuery: query.Encode()}
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+// Submit implements instance.
+func (h *httpInstance) Submit(ctx context.Context, body []byte, expected uint64, who string) (uint64, error) {
+	decision, err := h.client.Submit(ctx, body, expected, who)
 	if err != nil {
-		return &UsageError{Why: err.Error()}
-	}
-	if h.token != "" {
-		request.Header.Set("Authorization", "Bearer "+h.token)
+		return 0, h.changeFailure(err)
 	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return h.lost(method, err)
+	switch decision.Error {
+	case message.SubmitOK.String():
+		return decision.Number, nil
+	case message.SubmitInvalid.String():
+		return 0, &InputError{Why: decision.Detail}
+	case message.SubmitConflict.String():
+		return 0, &ConflictError{Why: decision.Detail}
+	case message.SubmitUnavailable.String():
+		return 0, &UnavailableError{Why: decision.Detail}
+	default:
+		return 0, &UnknownError{Why: decision.Detail}
 	}
-	defer func() { _ = answer.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit))
+}
+
+// decode reads the answer to a question that changes nothing.
+func (h *httpInstance) decode(body json.RawMessage, err error, result any) error {
 	if err != nil {
-		return h.lost(method, err)
+		return h.questionFailure(err)
 	}
-	if answer.StatusCode/100 != 2 {
-		return answerFailure(answer.StatusCode, strings.TrimSpace(string(text)))
-	}
-	if result == nil {
-		return nil
-	}
-	if err := json.Unmarshal(text, result); err != nil {
+	if err := json.Unmarshal(body, result); err != nil {
 		return &AnswerError{Why: "the answer can't be read: " + err.Error()}
 	}
 	return nil
 }
 
-// lost tells whether a call without an answer may have changed something.
-func (h *httpInstance) lost(method string, err error) error {
-	why := fmt.Sprintf("no answer from %s", h.address)
+func (h *httpInstance) questionFailure(err error) error {
+	if failure, found := answerFailure(err); found {
+		return failure
+	}
+	return h.unreachable()
+}
+
+// changeFailure tells whether a change without an answer may have happened.
+func (h *httpInstance) changeFailure(err error) error {
+	if failure, found := answerFailure(err); found {
+		return failure
+	}
 	var network *net.OpError
-	dialing := errors.As(err, &network) && network.Op == "dial"
-	if method == http.MethodGet || dialing {
-		return &UnavailableError{Why: why}
+	if errors.As(err, &network) && network.Op == "dial" {
+		return h.unreachable()
 	}
-	return &UnknownError{Why: why}
+	return &UnknownError{Why: fmt.Sprintf("no answer from %s", h.address)}
 }
 
-func answerFailure(code int, why string) error {
-	switch code {
-	case http.StatusBadRequest, http.StatusUnprocessableEntity:
-		return &InputError{Why: why}
+func (h *httpInstance) unreachable() error {
+	return &UnavailableError{Why: fmt.Sprintf("no answer from %s", h.address)}
+}
+
+// answerFailure returns the failure that an instance's answer stands for.
+func answerFailure(err error) (error, bool) {
+	var answer *operator.AnswerError
+	if !errors.As(err, &answer) {
+		return nil, false
+	}
+	switch answer.Status {
 	case http.StatusUnauthorized, http.StatusForbidden:
-		return &InputError{Why: "the instance refuses the token"}
-	case http.StatusConflict:
-		return &ConflictError{Why: why}
+		return &InputError{Why: "the instance does not take the token"}, true
 	case http.StatusServiceUnavailable:
-		return &UnavailableError{Why: why}
-	case http.StatusGatewayTimeout:
-		return &UnknownError{Why: why}
+		return &UnavailableError{Why: answer.Detail}, true
+	case http.StatusOK:
+		return &UnknownError{Why: "the instance's answer can't be read"}, true
 	default:
-		return &AnswerError{Why: fmt.Sprintf("%d %s: %s", code, http.StatusText(code), why)}
+		return &AnswerError{Why: answer.Error()}, true
 	}
 }
--- a/internal/command/proxy/verb_serve.go
+++ b/internal/command/proxy/verb_serve.go
@@ -4,16 +4,22 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/settings"
+	"github.com/eelgrassfold/eelgrassfold/internal/node/serve"
 )
 
+// signalRoom is the number of signals that are kept until they are looked at.
+const signalRoom = 4
+
 var verbServe = verb{
 	name:    "serve",
 	summary: "Run one instance.",
 	detail: "The instance runs in the foreground and logs to standard error. SIGTERM or SIGINT\n" +
-		"lets it finish the requests in flight and leave; a second signal ends it at once.\n" +
-		"It keeps nothing on disk.",
+		"lets it finish the requests in flight and leave; a second signal ends it at once,\n" +
+		"with exit code 1. It keeps nothing on disk.",
 	examples:   []string{"eelgrassfold serve --settings /etc/eelgrassfold/settings.toml"},
 	newCommand: func() any { return &serveCommand{} },
 }
@@ -28,7 +34,15 @@
 	if err != nil {
 		return err
 	}
-	return serveInstance(console, read)
+	signals := make(chan os.Signal, signalRoom)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	return serve.Run(console.Context, serve.Options{
+		Settings: read,
+		Version:  Version,
+		Signals:  signals,
+		Log:      console.Err,
+	})
 }
 
 func (c *serveCommand) readSettings(console *Console) (*settings.Settings, error) {
--- a/internal/config/settings/parse.go
+++ b/internal/config/settings/parse.go
@@ -72,7 +72,7 @@
 	s.Listen = readListen(root.Table("listen"))
 	s.Platform = readPlatform(root.Table("platform"))
 	s.Peer = readPeer(root.Table("peer"))
-	s.Operator = readOperator(root.Table("operator"), s.Listen.Operators)
+	s.Operator = r.readOperator(root.Table("operator"), s.Listen.Operators)
 	s.Caller = r.readCaller(root, s.Listen.Callers)
 	s.Database = readDatabase(root.Table("database"))
 	s.Log = readLog(root.Table("log"))
@@ -110,6 +110,9 @@
 	if found && peers.Addr().IsUnspecified() {
 		table.Fault("peers", "%s can't be told to other instances; name the address that they reach", peers)
 	}
+	if found && peers.Port() == 0 {
+		table.Fault("peers", "wants a port: other instances are told this address")
+	}
 	listen.Peers = peers
 	return listen
 }
@@ -174,8 +177,11 @@
 	return peer
 }
 
-func readOperator(table *toml.Table, listen netip.AddrPort) Operator {
+func (r *reader) readOperator(table *toml.Table, listen netip.AddrPort) Operator {
 	operator := Operator{Token: readSecret(table, "token")}
+	if !table.Has("token") {
+		r.warn(table, "operator.token", "without a token, nobody may submit a manifest or drain through this instance")
+	}
 	if listen.IsValid() && !listen.Addr().IsLoopback() && !table.Has("token") {
 		table.Fault("token", "is missing, and other hosts reach %s", listen)
 	}
--- /dev/null
+++ b/internal/node/serve/errors.go
@@ -0,0 +1,60 @@
+package serve
+
+import (
+	"fmt"
+	"os"
+
+	"go.uber.org/dig"
+)
+
+// StartError reports that an instance could not start.
+type StartError struct{ Cause error }
+
+// Error implements error.
+func (e *StartError) Error() string { return "can't start: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// StopError reports that a part did not end in time.
+type StopError struct{ Cause error }
+
+// Error implements error.
+func (e *StopError) Error() string { return "can't stop: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StopError) Unwrap() error { return e.Cause }
+
+// PartError reports that a part of the process ended with an error.
+type PartError struct {
+	Part  string
+	Cause error
+}
+
+// Error implements error.
+func (e *PartError) Error() string { return e.Part + " failed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PartError) Unwrap() error { return e.Cause }
+
+// InterruptedError reports that a second signal ended the process before it was
+// drained.
+type InterruptedError struct{ Signal os.Signal }
+
+// Error implements error.
+func (e *InterruptedError) Error() string {
+	return fmt.Sprintf("ended at once by %s, before the drain was over", e.Signal)
+}
+
+// CertificateError reports certificates that can't be loaded.
+type CertificateError struct {
+	// Path is the file.
+	Path string
+	Why  string
+}
+
+// Error implements error.
+func (e *CertificateError) Error() string { return e.Path + ": " + e.Why }
+
+// rootCause takes off what fx wraps around the error of a constructor.
+func rootCause(err error) error { return dig.RootCause(err) }
--- /dev/null
+++ b/internal/node/serve/secure.go
@@ -0,0 +1,80 @@
+package serve
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/settings"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/caller"
+)
+
+// hashPrefix begins a password that is kept as a hash.
+const hashPrefix = "pbkdf2-sha256$"
+
+// callerTLS returns the setting for callers' connections, or nil.
+func callerTLS(files settings.TLS) (*tls.Config, error) {
+	if !files.IsSet() {
+		return nil, nil
+	}
+	return loadTLS(files)
+}
+
+// peerTLS returns the setting for links between instances, or nil. Both ends
+// have to show a certificate of the authority.
+func peerTLS(files settings.TLS) (*tls.Config, error) {
+	if !files.IsSet() {
+		return nil, nil
+	}
+	config, err := loadTLS(files)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return nil, &CertificateError{Path: files.Authority, Why: err.Error()}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, &CertificateError{Path: files.Authority, Why: "holds no certificate"}
+	}
+	config.RootCAs = pool
+	config.ClientCAs = pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+func loadTLS(files settings.TLS) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Secret)
+	if err != nil {
+		return nil, &CertificateError{Path: files.Certificate, Why: err.Error()}
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// loadUsers loads the passwords of those who may connect. A password may be
+// kept as its hash.
+func loadUsers(users []settings.User) (caller.Users, error) {
+	loaded := caller.Users{}
+	for _, user := range users {
+		hash, err := loadPassword(user.Password)
+		if err != nil {
+			return nil, err
+		}
+		loaded[model.CallerID(user.Name)] = hash
+	}
+	return loaded, nil
+}
+
+func loadPassword(secret settings.Secret) (caller.PasswordHash, error) {
+	text, err := secret.Load()
+	if err != nil {
+		return caller.PasswordHash{}, err
+	}
+	if strings.HasPrefix(text, hashPrefix) {
+		return caller.ParsePasswordHash(text)
+	}
+	return caller.NewPasswordHash(text)
+}
