Bound the lag of a replica by when a position was known to exist

Cause: a sample's position may have been written after the time that the sample proves, so that every replica seemed up to 250 ms late.

--- a/internal/core/engine/system_watch.go
+++ b/internal/core/engine/system_watch.go
@@ -135,7 +135,7 @@
 	if g.proof.IsZero() {
 		return
 	}
-	g.addSample(e.now, sample{at: g.proof, position: g.primary.status.Received})
+	g.addSample(e.now, sample{at: g.proof, known: e.now, position: g.primary.status.Received})
 }
 
 // measureLag narrows the estimate of how long a replica takes to show a commit:
@@ -151,7 +151,7 @@
 		lacking--
 	}
 	if lacking < len(samples) {
-		d.lag = max(d.lag, e.now.Sub(samples[lacking].at))
+		d.lag = max(d.lag, d.asked.Sub(samples[lacking].known))
 		return
 	}
 	first := sort.Search(lacking, func(i int) bool { return !samples[i].position.Less(d.applied) })
--- a/internal/core/engine/table_group.go
+++ b/internal/core/engine/table_group.go
@@ -74,9 +74,10 @@
 // Groups.
 
 // sample says that no state newer than position existed at the time at, under
-// the proof of a majority.
+// the proof of a majority, and that position itself existed at the time known.
 type sample struct {
 	at       time.Time
+	known    time.Time
 	position model.Position
 }
 
--- a/internal/standin/flood/flood_test.go
+++ b/internal/standin/flood/flood_test.go
@@ -14,7 +14,7 @@
 	loadsFlag = flag.String("loads", "0.5,1,2,5,10", "loads")
 )
 
-func TestPrint(t *testing.T) {
+func TestPrint(*testing.T) {
 	for _, place := range []Place{Consortium, Reparto} {
 		for r := range loads {
 			for _, l := range strings.Split(*loadsFlag, ",") {
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -85,7 +85,6 @@
 	zone     int
 	schedule scheduler
 	requests map[model.RequestID]*request
-	tick     time.Duration
 	turn     int
 }
 
