Leave the primary to the writes while a replica serves a read soon enough

Cause: the scheduler takes any free candidate, and the arbiter leased the primary's slots first, so that reads went there while replicas stood idle.

--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -93,6 +93,9 @@
 	if len(ready) == 0 && primary != nil && e.isWorthWaiting(r, soonest) {
 		return nil
 	}
+	if len(ready) > 0 && e.now.Sub(r.arrived) < e.patience(r) {
+		primary = nil
+	}
 	names := make([]model.DatabaseID, 0, len(ready)+1)
 	for _, d := range ready {
 		names = append(names, d.name)
@@ -218,8 +221,13 @@
 	if soonest.IsZero() {
 		return false
 	}
-	patience := min(readPatience, r.target/targetShare)
-	return soonest.Sub(r.arrived) <= patience && soonest.Before(r.deadline)
+	return soonest.Sub(r.arrived) <= e.patience(r) && soonest.Before(r.deadline)
+}
+
+// patience is the time for which a read leaves the primary to the writes: until
+// a replica has caught up, or has a slot free.
+func (e *Engine) patience(r *request) time.Duration {
+	return min(readPatience, r.target/targetShare)
 }
 
 // -----------------------------------------------------------------------------
