--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -22,6 +22,7 @@
 	r.sent = time.Time{}
 	r.opened = 0
 	r.position = model.Position{}
+	r.released = model.Position{}
 	r.state = ""
 	conn, opened, err := s.edge.pool.Acquire(ctx, d.Database, d.Expires)
 	r.opened = opened
@@ -184,11 +185,12 @@
 	err := s.flush()
 	r.passed = true
 	if r.status != statusIdle {
+		r.failed = r.status == statusFailed
 		s.request = r
 		s.current.Store(0)
 		return err
 	}
-	if end.failure != nil {
+	if end.failure != nil || r.failed {
 		s.ended(r, message.AnswerFailed{State: r.state})
 	} else {
 		s.ended(r, message.AnswerRead{Position: r.position})
@@ -208,6 +210,7 @@
 		}
 		switch item := item.(type) {
 		case message.Release:
+			r.released = r.position
 			return nil, nil
 		case message.Abandon:
 			return abandonProblem(item), nil
--- a/internal/edge/caller/fake_database_test.go
+++ b/internal/edge/caller/fake_database_test.go
@@ -314,6 +314,9 @@
 // standard answers as a database would that echoes what it is asked.
 func (c *fakeConn) standard(sql string, describe bool) {
 	word, _, _ := strings.Cut(sql, " ")
+	if c.status == 'E' && word == "COMMIT" {
+		word = "ROLLBACK"
+	}
 	if c.status == 'E' && word != "ROLLBACK" {
 		c.fail("25P02", "aborted")
 		return
--- a/internal/edge/caller/gate.go
+++ b/internal/edge/caller/gate.go
@@ -18,7 +18,11 @@
 // last, in the same term. Another term proves nothing.
 func (c *provenCell) covers(position model.Position) bool {
 	proven := c.position.Load()
-	return proven != nil && proven.Term == position.Term && position.Offset <= proven.Offset
+	return proven != nil && covers(*proven, position)
+}
+
+func covers(proven, position model.Position) bool {
+	return proven.Term == position.Term && position.Offset <= proven.Offset
 }
 
 // mayPass reports whether what has been read so far may go to the caller.
@@ -29,7 +33,7 @@
 	if !y.r.dispatch.Gated || !y.known {
 		return true
 	}
-	return y.s.proven.covers(y.r.position)
+	return covers(y.r.released, y.r.position) || y.s.proven.covers(y.r.position)
 }
 
 // moveOn sends on what may be sent, at a good moment, and stops reading where
--- /dev/null
+++ b/internal/edge/caller/gate_test.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+func position(term model.Term, offset uint64) model.Position {
+	return model.Position{Term: term, Offset: offset}
+}
+
+// TestGate runs a read at position 7:100 under different words of the core.
+func TestGate(t *testing.T) {
+	read := message.AnswerRead{Position: position(7, 100)}
+	release := func(held message.AnswerHeld) message.Action {
+		return message.Release{Request: held.Request, Attempt: held.Attempt}
+	}
+	abandon := func(held message.AnswerHeld) message.Action {
+		return message.Abandon{Request: held.Request, Attempt: held.Attempt, Why: "the primary is gone"}
+	}
+	none := func(message.AnswerHeld) message.Action { return nil }
+	cases := []struct {
+		name     string
+		dispatch message.Dispatch
+		proven   model.Position
+		word     func(message.AnswerHeld) message.Action
+		want     outcome
+		held     bool
+	}{
+		{
+			"fresh replica",
+			message.Dispatch{Access: model.AccessRead, Minimum: position(7, 100)},
+			position(0, 0), none,
+			outcome{"select a", "", read},
+			false,
+		},
+		{
+			"replica behind",
+			message.Dispatch{Access: model.AccessRead, Minimum: position(7, 101)},
+			position(0, 0), none,
+			outcome{"", "57P03", message.AnswerBehind{Position: position(7, 100)}},
+			false,
+		},
+		{
+			"behind by term",
+			message.Dispatch{Access: model.AccessRead, Minimum: position(8, 1)},
+			position(0, 0), none,
+			outcome{"", "57P03", message.AnswerBehind{Position: position(7, 100)}},
+			false,
+		},
+		{"proven", message.Dispatch{Gated: true}, position(7, 100), none, outcome{"select a", "", read}, false},
+		{"proven beyond", message.Dispatch{Gated: true}, position(7, 200), none, outcome{"select a", "", read}, false},
+		{"proven in another term", message.Dispatch{Gated: true}, position(8, 200), release, outcome{"select a", "", read}, true},
+		{"released", message.Dispatch{Gated: true}, position(7, 99), release, outcome{"select a", "", read}, true},
+		{
+			"abandoned",
+			message.Dispatch{Gated: true},
+			position(7, 99), abandon,
+			outcome{"", "40001", message.AnswerFailed{State: "40001"}},
+			true,
+		},
+		{
+			"read of the primary released",
+			message.Dispatch{Gated: true, Access: model.AccessRead},
+			position(0, 0), release,
+			outcome{"select a", "", read},
+			true,
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			held := false
+			b := newBench(t, func(b *bench, _ *Options) {
+				b.core.dispatch = test.dispatch
+				b.core.dispatch.Database = testDatabase
+				b.core.dispatch.Term = 7
+				b.core.hook = func(event message.Event) bool {
+					answer, ok := event.(message.AnswerHeld)
+					if !ok {
+						return false
+					}
+					held = true
+					if diff := cmp.Diff(position(7, 100), answer.Position); diff != "" {
+						t.Error(diff)
+					}
+					b.core.edge.Act(test.word(answer))
+					return true
+				}
+			})
+			b.edge.Act(message.Proven{Group: testGroup, Position: test.proven})
+			conn := connect(t, b, "")
+			got := outcomeOf(t, b, conn, "select a")
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(test.held, held); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestCommitHeld checks that no part of a commit's answer is out before the
+// core has acknowledged it.
+func TestCommitHeld(t *testing.T) {
+	cases := []struct {
+		name string
+		word func(ended message.AnswerEnded) message.Action
+		want string
+	}{
+		{"acknowledged", func(e message.AnswerEnded) message.Action {
+			return message.Acknowledge{Request: e.Request, Attempt: e.Attempt, Token: model.Token{Group: testGroup, Position: position(7, 101)}}
+		}, ""},
+		{"unknown", func(e message.AnswerEnded) message.Action {
+			return message.Abandon{Request: e.Request, Attempt: e.Attempt, Unknown: true}
+		}, "08007"},
+		{"proven not to have happened", func(e message.AnswerEnded) message.Action {
+			return message.Refuse{Request: e.Request, Why: message.RefuseSettled}
+		}, "40001"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			committed := make(chan message.AnswerEnded, 1)
+			b := newBench(t)
+			b.core.hook = func(event message.Event) bool {
+				ended, ok := event.(message.AnswerEnded)
+				if !ok {
+					return false
+				}
+				if _, ok = ended.Answer.(message.AnswerCommitted); ok {
+					committed <- ended
+				}
+				return ok
+			}
+			conn := connect(t, b, "")
+			answered := make(chan error, 1)
+			go func() {
+				_, err := conn.Exec(context.Background(), "INSERT x")
+				answered <- err
+			}()
+			ended := <-committed
+			select {
+			case err := <-answered:
+				t.Fatal("answered before the word of the core: ", err)
+			default:
+			}
+			b.edge.Act(test.word(ended))
+			if diff := cmp.Diff(test.want, stateOf(<-answered)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestHeldOverLimit has an answer of more than may be held wait for its proof.
+func TestHeldOverLimit(t *testing.T) {
+	const rows = 200
+	row := strings.Repeat("x", 64<<10)
+	b := newBench(t)
+	b.db.on("select all", func(c *fakeConn) {
+		c.describe()
+		c.shown()
+		for range rows {
+			c.row(row)
+		}
+		c.complete("SELECT 200")
+	})
+	held := 0
+	b.core.hook = func(event message.Event) bool {
+		if _, ok := event.(message.AnswerHeld); ok {
+			held++
+		}
+		return false
+	}
+	conn := connect(t, b, "")
+	answer, err := conn.Query(context.Background(), "select all", pgx.QueryExecModeSimpleProtocol)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	for answer.Next() {
+		if string(answer.RawValues()[0]) != row {
+			t.Fatal("row differs")
+		}
+		got++
+	}
+	if diff := cmp.Diff(rows, got); diff != "" || answer.Err() != nil {
+		t.Error(diff, answer.Err())
+	}
+	if diff := cmp.Diff(1, held); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -303,7 +303,9 @@
 	}
 	why, ours := y.refusedWhy(response.Code)
 	if !ours {
-		y.r.state = response.Code
+		if !y.r.failed {
+			y.r.state = response.Code
+		}
 		y.pass(frame)
 		return
 	}
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -38,6 +38,10 @@
 	opened time.Duration
 	// position is the newest that an answer has shown.
 	position model.Position
+	// released is the position that the core has released.
+	released model.Position
+	// failed says that the transaction had failed before its last batch.
+	failed bool
 	// state is the SQLSTATE of the last error in an answer.
 	state string
 	// canceled says that the core was told of the caller's withdrawal.
--- a/internal/edge/database/conn.go
+++ b/internal/edge/database/conn.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"syscall"
@@ -106,7 +107,7 @@
 		return true
 	}
 	err := c.raw.Read(c.peek)
-	return err == nil && c.peeked == syscall.EAGAIN
+	return err == nil && errors.Is(c.peeked, syscall.EAGAIN)
 }
 
 // watchSocket prepares isQuiet. A connection that is no plain socket can't be
