--- a/internal/edge/caller/command.go
+++ b/internal/edge/caller/command.go
@@ -61,7 +61,7 @@
 		}
 		return parseDeallocate(rest)
 	}
-	name := settingName(rest)
+	name := settingName(strings.TrimSpace(rest))
 	if !strings.HasPrefix(name, ownPrefix) {
 		return nil
 	}
--- a/internal/edge/caller/fake_database_test.go
+++ b/internal/edge/caller/fake_database_test.go
@@ -30,6 +30,7 @@
 	seen     []string
 	canceled chan uint32
 	opened   int
+	discards int
 	conns    map[*fakeConn]bool
 	busy     string
 }
@@ -114,6 +115,13 @@
 	return append([]string(nil), db.seen...)
 }
 
+// resets returns how often a connection was reset.
+func (db *fakeDatabase) resets() int {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.discards
+}
+
 func (db *fakeDatabase) serve(conn net.Conn) {
 	defer conn.Close()
 	backend := pgproto3.NewBackend(conn, conn)
@@ -284,6 +292,9 @@
 	case sql == "DISCARD ALL":
 		c.work, c.reads = "", false
 		c.named = map[string]string{}
+		c.db.mu.Lock()
+		c.db.discards++
+		c.db.mu.Unlock()
 		c.complete("DISCARD ALL")
 	case sql == "CALL group_status()":
 		c.sendStatus()
