Test redirects and silent connections of the platform's client

Cause: with the redirect rule or the connections of their own taken out, the tests stayed green. Change: cases of redirects with another method, and a platform whose connections go silent after one answer.

--- a/internal/edge/platform/edge_test.go
+++ b/internal/edge/platform/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -108,6 +109,8 @@
 		{"write bad gateway", writeRows, 502, "", ``, unknown, sentWrite},
 		{"write unauthorized", writeRows, 401, "", ``, refused, sentWrite},
 		{"write redirected", writeRows, 307, "", ``, refused, sentWrite},
+		{"write redirected to another page", writeRows, 303, "", ``, refused, sentWrite},
+		{"row redirected", readRow, 302, "", "", message.RowsRead{Ask: 7, Err: message.PlatformRefused}, "GET /tables/groups/a%2Fb%20c "},
 		{"object", readObject, 200, "", "body", message.ObjectRead{Ask: 7, Name: "sum", Body: []byte("body")}, "GET /objects/sum "},
 		{"object missing", readObject, 404, "", "", message.ObjectRead{Ask: 7, Name: "sum", Err: message.PlatformMissing}, "GET /objects/sum "},
 		{"object written", writeObject, 204, "", "", message.ObjectWritten{Ask: 7, Name: "sum"}, "PUT /objects/sum body"},
@@ -236,6 +239,26 @@
 	}
 }
 
+// A platform whose connections go silent after one answer, as when something
+// between the two ends has lost track of them.
+func TestChangesDoNotUseOldConnections(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	const body = `{"rows":[{"table":"t","key":"k","version":"2"}]}`
+	address, _ := listen(t, func(conn net.Conn, requests *atomic.Int32) {
+		readWrite(conn, requests)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		<-silent
+	})
+	edge, events := startEdge(t, platform.Options{Port: newPort(address)})
+	for range 3 {
+		edge.Act(writeRows)
+		if diff := cmp.Diff(message.PlatformOK, (<-events).(message.RowsWritten).Err); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
 func TestNoListenerIsUnsent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
