--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -17,7 +17,6 @@
 package rank
 
 import (
-	"sort"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
@@ -25,6 +24,10 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
+// defaultKind is the kind of work that names none, or one that the manifest
+// does not have.
+const defaultKind = "default"
+
 // Work is one request that wants a slot.
 type Work struct {
 	Request model.RequestID
@@ -35,6 +38,8 @@
 	Kind     string
 	Arrived  time.Time
 	Deadline time.Time
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int
 	// Transaction says that the slot is kept over several statements.
 	Transaction bool
 }
@@ -71,117 +76,325 @@
 
 // Scheduler orders the work of one instance.
 type Scheduler struct {
-	self    model.InstanceID
-	slots   int
-	waiting []Work
-	running map[model.RequestID]running
-	busy    map[model.DatabaseID]int
+	self      model.InstanceID
+	way       string
+	peers     peers
+	limits    manifest.Limits
+	ranks     []manifest.Rank
+	floors    []float64
+	kinds     map[string]*kind
+	groups    map[model.GroupID]*group
+	sequence  []*group
+	databases map[model.DatabaseID]*database
+	waiting   map[model.RequestID]*item
+	running   map[model.RequestID]*item
+	expiry    deadlines
+	expired   []model.RequestID
+	grants    []Grant
+	outbox    []message.SendPeer
+	order     []model.Rank
 }
 
-type running struct {
-	work     Work
-	database model.DatabaseID
-}
+// Option changes how a scheduler works.
+type Option func(*Scheduler)
+
+// WithShare chooses how the instances divide slots, one of ShareNames.
+func WithShare(name string) Option { return func(s *Scheduler) { s.way = name } }
 
 // NewScheduler returns a scheduler for the instance self. It takes no work
 // before Configure.
-func NewScheduler(self model.InstanceID) *Scheduler {
-	return &Scheduler{
-		self:    self,
-		running: map[model.RequestID]running{},
-		busy:    map[model.DatabaseID]int{},
+func NewScheduler(self model.InstanceID, options ...Option) *Scheduler {
+	s := &Scheduler{
+		self:      self,
+		way:       defaultShare,
+		kinds:     map[string]*kind{},
+		groups:    map[model.GroupID]*group{},
+		databases: map[model.DatabaseID]*database{},
+		waiting:   map[model.RequestID]*item{},
+		running:   map[model.RequestID]*item{},
+	}
+	s.peers.until = map[model.InstanceID]time.Time{}
+	s.peers.set(time.Time{}, []model.InstanceID{self})
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Configure puts a manifest's ranks and limits in force. Waiting and running
+// work stays; work of a group that is gone waits for its deadline.
+func (s *Scheduler) Configure(now time.Time, m *manifest.Manifest) {
+	s.limits = m.Limits
+	s.ranks = m.Ranks
+	s.configureKinds(m.Kinds)
+	count := max(len(m.Ranks), len(s.floors), 1)
+	s.floors = make([]float64, count)
+	for r, declared := range m.Ranks {
+		s.floors[r] = declared.Floor
+	}
+	known := s.databases
+	s.databases = map[model.DatabaseID]*database{}
+	s.sequence = nil
+	for _, g := range s.groups {
+		g.databases = nil
+	}
+	for _, declared := range m.Groups {
+		s.configureGroup(now, declared, known)
 	}
+	for _, g := range s.groups {
+		g.growQueues(count, m.Kinds)
+	}
+	s.elect(now)
 }
 
-// Configure puts a manifest's ranks and limits in force.
-func (s *Scheduler) Configure(_ time.Time, m *manifest.Manifest) { s.slots = m.Limits.Slots }
+func (s *Scheduler) configureKinds(kinds []manifest.Kind) {
+	known := s.kinds
+	s.kinds = map[string]*kind{}
+	for _, declared := range kinds {
+		k := known[declared.Name]
+		if k == nil {
+			k = &kind{}
+		}
+		k.access = declared.Access
+		s.kinds[declared.Name] = k
+	}
+	if s.kinds[defaultKind] == nil {
+		s.kinds[defaultKind] = &kind{access: model.AccessWrite}
+	}
+}
 
-// SetPeers tells which instances are alive, this one included.
-func (s *Scheduler) SetPeers(time.Time, []model.InstanceID) {}
+func (s *Scheduler) configureGroup(now time.Time, declared manifest.Group, known map[model.DatabaseID]*database) {
+	g := s.groups[declared.Name]
+	if g == nil {
+		g = &group{id: declared.Name, share: newShare(s.way)}
+		s.groups[declared.Name] = g
+	}
+	s.sequence = append(s.sequence, g)
+	for i, member := range declared.Databases {
+		d := known[member.Name]
+		if d == nil {
+			d = &database{id: member.Name}
+			d.ledger.since, d.fleet.since = now, now
+			d.meter.since, d.fleetMeter.since = now, now
+		}
+		d.group = g
+		d.bit = 1 << i
+		d.ledger.grow(len(s.floors))
+		d.fleet.grow(len(s.floors))
+		g.databases = append(g.databases, d)
+		s.databases[d.id] = d
+	}
+}
+
+// growQueues makes a queue for each rank.
+func (g *group) growQueues(count int, kinds []manifest.Kind) {
+	for r := model.Rank(len(g.queues)); int(r) < count; r++ {
+		g.queues = append(g.queues, newQueue(r, widthOf(r, kinds)))
+	}
+}
+
+// widthOf returns the width of the buckets in which a rank's deadlines fall.
+func widthOf(r model.Rank, kinds []manifest.Kind) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range kinds {
+		if k.Rank == r {
+			longest = max(longest, k.Deadline)
+		}
+	}
+	if longest == 0 {
+		return defaultWidth
+	}
+	return max(longest*4/(3*bucketCount), time.Millisecond)
+}
+
+// -----------------------------------------------------------------------------
+// What the manifest says.
+
+// kind returns what is known of a kind; an unknown name is the default.
+func (s *Scheduler) kind(name string) *kind {
+	if known := s.kinds[name]; known != nil {
+		return known
+	}
+	return s.kinds[defaultKind]
+}
+
+func (s *Scheduler) access(name string) model.Access { return s.kind(name).access }
+
+// target returns the target time of a rank, or 0.
+func (s *Scheduler) target(r model.Rank) time.Duration {
+	if int(r) < len(s.ranks) {
+		return s.ranks[r].Target
+	}
+	return 0
+}
+
+// clamp returns the nearest rank that the manifest has.
+func (s *Scheduler) clamp(r model.Rank) model.Rank {
+	return min(max(r, 0), model.Rank(len(s.floors)-1))
+}
+
+// queueOf returns the queue of a work.
+func (g *group) queueOf(work *Work) *queue {
+	return g.queues[min(max(int(work.Rank), 0), len(g.queues)-1)]
+}
+
+// -----------------------------------------------------------------------------
+// The queue.
 
 // Offer takes work into the queue, or refuses it at the door.
-func (s *Scheduler) Offer(_ time.Time, work Work) (Refusal, bool) {
-	s.waiting = append(s.waiting, work)
-	return Refusal{}, true
+func (s *Scheduler) Offer(now time.Time, work Work) (Refusal, bool) {
+	g := s.groups[work.Group]
+	if g == nil || len(g.databases) == 0 {
+		return Refusal{Why: message.RefuseUnknownGroup, Detail: string(work.Group)}, false
+	}
+	q := g.queueOf(&work)
+	it := &item{work: work, cost: s.kind(work.Kind).cost(now)}
+	refusal, ok := s.admit(now, g, q, it)
+	if ok {
+		s.enter(now, q, it)
+	}
+	return refusal, ok
 }
 
 // Requeue puts a running request back into the queue for another attempt. It
 // keeps its place by arrival and is never refused.
 func (s *Scheduler) Requeue(now time.Time, request model.RequestID, ending Ending) {
-	entry, found := s.running[request]
-	if !found {
+	it := s.running[request]
+	if it == nil {
 		return
 	}
 	s.Finish(now, request, ending)
-	s.waiting = append(s.waiting, entry.work)
+	g := s.groups[it.work.Group]
+	s.enter(now, g.queueOf(&it.work), &item{work: it.work, cost: it.cost, target: it.target, class: it.class})
 }
 
 // Withdraw takes a request out of the queue. It reports whether it was there.
 func (s *Scheduler) Withdraw(request model.RequestID) bool {
-	for i, work := range s.waiting {
-		if work.Request == request {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return true
-		}
+	it := s.waiting[request]
+	if it == nil {
+		return false
 	}
-	return false
+	q := s.groups[it.work.Group].queueOf(&it.work)
+	s.leave(q, it)
+	q.count.withdrawn++
+	return true
 }
 
 // Expired takes out of the queue, and returns, what has passed its deadline.
 func (s *Scheduler) Expired(now time.Time) []model.RequestID {
-	var gone []model.RequestID
-	kept := s.waiting[:0]
-	for _, work := range s.waiting {
-		if now.Before(work.Deadline) {
-			kept = append(kept, work)
-			continue
-		}
-		gone = append(gone, work.Request)
-	}
-	s.waiting = kept
+	s.expire(now)
+	gone := s.expired
+	s.expired = nil
 	return gone
 }
 
-// Grant pairs waiting work with free slots.
-func (s *Scheduler) Grant(_ time.Time, candidates Candidates) []Grant {
-	var grants []Grant
-	sort.SliceStable(s.waiting, func(i, j int) bool { return s.waiting[i].Arrived.Before(s.waiting[j].Arrived) })
-	kept := s.waiting[:0]
-	for _, work := range s.waiting {
-		database, found := s.free(candidates(work))
-		if !found {
-			kept = append(kept, work)
-			continue
-		}
-		s.busy[database]++
-		s.running[work.Request] = running{work: work, database: database}
-		grants = append(grants, Grant{Request: work.Request, Database: database})
+// expire moves what has passed its deadline from the queue to s.expired.
+func (s *Scheduler) expire(now time.Time) {
+	for len(s.expiry) > 0 && !now.Before(s.expiry[0].work.Deadline) {
+		it := s.expiry[0]
+		q := s.groups[it.work.Group].queueOf(&it.work)
+		s.leave(q, it)
+		q.count.expired++
+		s.expired = append(s.expired, it.work.Request)
 	}
-	s.waiting = kept
-	return grants
 }
 
-func (s *Scheduler) free(databases []model.DatabaseID) (model.DatabaseID, bool) {
-	for _, database := range databases {
-		if s.busy[database] < s.slots {
-			return database, true
+// Grant pairs waiting work with free slots. It starts nothing that has passed
+// its deadline; Expired returns that.
+func (s *Scheduler) Grant(now time.Time, candidates Candidates) []Grant {
+	s.expire(now)
+	s.grants = nil
+	s.peers.refresh(now)
+	for _, g := range s.sequence {
+		s.grantGroup(now, g, candidates)
+		s.outbox = append(s.outbox, s.messages(now, g)...)
+		if g.isArbiter() {
+			s.grantGroup(now, g, candidates)
 		}
 	}
-	return "", false
+	return s.grants
 }
 
 // Finish gives the slot of a running request back.
-func (s *Scheduler) Finish(_ time.Time, request model.RequestID, _ Ending) {
-	entry, found := s.running[request]
-	if !found {
+func (s *Scheduler) Finish(now time.Time, request model.RequestID, ending Ending) {
+	it := s.running[request]
+	if it == nil {
 		return
 	}
 	delete(s.running, request)
-	s.busy[entry.database]--
+	q := s.groups[it.work.Group].queueOf(&it.work)
+	took := now.Sub(it.started)
+	it.database.ledger.stop(now, q.rank)
+	s.finished(it)
+	s.charge(now, q, it, took-it.cost)
+	q.count.running--
+	if ending.Failed {
+		q.count.failed++
+		return
+	}
+	s.kind(it.work.Kind).measure(now, took)
+	q.count.served++
+	if target := s.target(q.rank); target > 0 && now.Sub(it.work.Arrived) > target {
+		q.count.late++
+	}
+}
+
+// -----------------------------------------------------------------------------
+// Slots.
+
+// isFree reports whether this instance may use one more slot of d.
+func (s *Scheduler) isFree(d *database) bool { return d.ledger.busy() < s.perInstance(d) }
+
+// slotsOf returns the slots that this instance may count on for an access: its
+// equal share, or what it used lately where that is more.
+func (s *Scheduler) slotsOf(now time.Time, g *group, a model.Access) float64 {
+	databases := len(g.databases)
+	if a == model.AccessWrite {
+		databases = 1
+	}
+	equal := float64(s.limits.Slots*databases) / float64(max(1, len(s.peers.known)))
+	used := 0.0
+	for _, q := range g.queues {
+		used += q.drained(now, a)
+	}
+	return max(equal, used)
+}
+
+// -----------------------------------------------------------------------------
+// Peers.
+
+// SetPeers tells which instances are alive, this one included.
+func (s *Scheduler) SetPeers(now time.Time, live []model.InstanceID) {
+	s.peers.set(now, live)
+	s.elect(now)
+}
+
+// elect adopts the arbiters that the live instances give.
+func (s *Scheduler) elect(now time.Time) {
+	for _, g := range s.sequence {
+		if way, ok := g.share.(*arbiterShare); ok {
+			way.elect(s, now, g)
+		}
+	}
 }
 
 // Hear takes in a Demand or Permit of a peer.
-func (s *Scheduler) Hear(time.Time, model.InstanceID, message.PeerMessage) {}
+func (s *Scheduler) Hear(now time.Time, from model.InstanceID, body message.PeerMessage) {
+	var id model.GroupID
+	switch body := body.(type) {
+	case message.Demand:
+		id = body.Group
+	case message.Permit:
+		id = body.Group
+	}
+	if g := s.groups[id]; g != nil {
+		s.hear(now, g, from, body)
+	}
+}
 
-// Messages returns what the peers shall hear now.
-func (s *Scheduler) Messages(time.Time) []message.SendPeer { return nil }
+// Messages returns what the peers shall hear now, as the last Grant left it.
+func (s *Scheduler) Messages(time.Time) []message.SendPeer {
+	out := s.outbox
+	s.outbox = nil
+	return out
+}
