--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -183,6 +183,28 @@
 	return decodeMessage(content)
 }
 
+// BenchmarkFrame measures a message from one end to the other without the
+// network, with its size on the wire.
+func BenchmarkFrame(b *testing.B) {
+	for _, m := range samples {
+		b.Run(kindOf(m).name, func(b *testing.B) {
+			s, o := sealer{key: testKey}, opener{key: testKey}
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				content, _ := encodeMessage(m)
+				frame, _ := s.seal(content)
+				size = lengthSize + len(frame)
+				opened, _ := o.open(frame)
+				if _, err := decodeMessage(opened); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "wire-bytes")
+		})
+	}
+}
+
 // -----------------------------------------------------------------------------
 // Queues.
 
--- a/internal/edge/peer/edge.go
+++ b/internal/edge/peer/edge.go
@@ -3,9 +3,9 @@
 // # What flows in and out
 //
 // SetPeers tells which links to keep, and SendPeer sends one message.
-// PeerLinked flows out when a link stands, PeerHeard for each message of a peer,
-// and PeerLost when a link ends or could not be made. Messages may be lost, and the core depends on none
-// of them.
+// PeerLinked flows out when a link stands, PeerHeard for each message of a
+// peer, and PeerLost when a link ends or could not be made. Messages may be
+// lost, and the core depends on none of them.
 //
 // A link is one TCP connection with frames behind their length. Both ends
 // introduce themselves with the protocol's version, their instance and a
--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -124,6 +124,14 @@
 func TestEveryMessageIsHeardFromAnUnknownInstance(t *testing.T) {
 	a, b := start(t, "a", nil), start(t, "b", nil)
 	a.keep("", b.Address())
+	for _, linked := range []struct {
+		by   instance
+		want message.Event
+	}{{a, message.PeerLinked{Peer: "b"}}, {b, message.PeerLinked{Peer: "a"}}} {
+		if diff := cmp.Diff(linked.want, <-linked.by.events, equal); diff != "" {
+			t.Error(diff)
+		}
+	}
 	for _, m := range samples {
 		want := message.PeerHeard{From: "a", Body: m}
 		if diff := cmp.Diff(want, deliver(a, b, m), equal); diff != "" {
