Count events without a lookup by text

Cause: each decision writes an event, and counting it built the number's text and looked it up in the expvar map. Change: the writer keeps each event's counter beside its window.

--- a/internal/report/eventlog/writer.go
+++ b/internal/report/eventlog/writer.go
@@ -48,6 +48,14 @@
 	return value.Value()
 }
 
+// counter returns the count of the event of that number, which it begins where
+// there is none.
+func counter(number int) *expvar.Int {
+	key := strconv.Itoa(number)
+	counts.Add(key, 0)
+	return counts.Get(key).(*expvar.Int)
+}
+
 // Writer writes events. It may be used from many goroutines.
 type Writer struct {
 	handler slog.Handler
@@ -61,7 +69,9 @@
 
 // lines counts the lines of one event in the present window.
 type lines struct {
-	event   event.Event
+	event event.Event
+	// count is the event's entry in counts.
+	count   *expvar.Int
 	began   time.Time
 	written int
 	left    int
@@ -79,9 +89,9 @@
 // Write counts the event e and writes its line, unless the event has used up
 // its lines of this second.
 func (w *Writer) Write(now time.Time, e event.Event, fields ...event.Field) {
-	counts.Add(strconv.Itoa(e.Number), 1)
 	w.mu.Lock()
 	entry := w.entry(now, e)
+	entry.count.Add(1)
 	w.roll(now, entry)
 	full := entry.written >= w.limit
 	if full {
@@ -113,7 +123,7 @@
 func (w *Writer) entry(now time.Time, e event.Event) *lines {
 	entry, found := w.windows[e.Number]
 	if !found {
-		entry = &lines{event: e, began: now}
+		entry = &lines{event: e, count: counter(e.Number), began: now}
 		w.windows[e.Number] = entry
 	}
 	return entry
--- a/internal/report/eventlog/writer_test.go
+++ b/internal/report/eventlog/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -57,3 +58,21 @@
 		t.Errorf("count of a limited event: %s", diff)
 	}
 }
+
+// BenchmarkWrite measures one event whose line is not written, because of its
+// level or its limit.
+func BenchmarkWrite(b *testing.B) {
+	silent := slog.NewTextHandler(&bytes.Buffer{}, &slog.HandlerOptions{Level: slog.LevelError})
+	numbered := event.Event{Number: 9993, Name: "measured", Level: event.LevelDebug}
+	for _, limit := range []int{0, eventlog.DefaultLimit} {
+		b.Run(strconv.Itoa(limit)+" lines", func(b *testing.B) {
+			writer := eventlog.NewWriter(logr.FromSlogHandler(silent), limit)
+			now := time.Unix(100, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				writer.Write(now, numbered)
+			}
+		})
+	}
+}
