--- a/internal/report/eventlog/writer_test.go
+++ b/internal/report/eventlog/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,7 @@
 	flood := event.Event{Number: 9991, Name: "flood", Level: event.LevelWarn}
 	other := event.Event{Number: 9992, Name: "other", Level: event.LevelError}
 	writer, out := newLog(2)
+	before := eventlog.Count(9991)
 	start := time.Unix(100, 0)
 	for i := range 5 {
 		writer.Write(start, flood, event.F("i", i))
@@ -52,7 +54,25 @@
 	if diff := cmp.Diff(want, out.String()); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff(int64(6), eventlog.Count(9991)); diff != "" {
+	if diff := cmp.Diff(before+6, eventlog.Count(9991)); diff != "" {
 		t.Errorf("count of a limited event: %s", diff)
 	}
 }
+
+// BenchmarkWrite measures one event whose line is not written, because of its
+// level or its limit.
+func BenchmarkWrite(b *testing.B) {
+	silent := slog.NewTextHandler(&bytes.Buffer{}, &slog.HandlerOptions{Level: slog.LevelError})
+	numbered := event.Event{Number: 9993, Name: "measured", Level: event.LevelDebug}
+	for _, limit := range []int{0, eventlog.DefaultLimit} {
+		b.Run(strconv.Itoa(limit)+" lines", func(b *testing.B) {
+			writer := eventlog.NewWriter(logr.FromSlogHandler(silent), limit)
+			now := time.Unix(100, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				writer.Write(now, numbered)
+			}
+		})
+	}
+}
