Read three times in the demo; name failing secrets as bad input

Change: the demo reads in three sessions. `serve` ends with exit code 2 where a secret or certificate that the settings name can't be loaded. Proof: `make demo` three times, exit 0 each; no process and no file left.

--- a/internal/command/proxy/verb_serve.go
+++ b/internal/command/proxy/verb_serve.go
@@ -37,12 +37,23 @@
 	signals := make(chan os.Signal, signalRoom)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	return serve.Run(console.Context, serve.Options{
+	err = serve.Run(console.Context, serve.Options{
 		Settings: read,
 		Version:  Version,
 		Signals:  signals,
 		Log:      console.Err,
 	})
+	return asInputError(err)
+}
+
+// asInputError marks failures of files that the settings name as bad input.
+func asInputError(err error) error {
+	var secret *settings.SecretError
+	var certificate *serve.CertificateError
+	if errors.As(err, &secret) || errors.As(err, &certificate) {
+		return &InputError{Why: err.Error()}
+	}
+	return err
 }
 
 func (c *serveCommand) readSettings(console *Console) (*settings.Settings, error) {
--- a/internal/standin/demo/steps.go
+++ b/internal/standin/demo/steps.go
@@ -228,6 +228,9 @@
 // -----------------------------------------------------------------------------
 // Work.
 
+// readCount is the number of sessions that read what was written.
+const readCount = 3
+
 // writeAndRead writes through the first instance, carries the session token to
 // the second, and reads the write there.
 func (d *demo) writeAndRead(ctx context.Context) error {
@@ -236,13 +239,15 @@
 	if err != nil {
 		return err
 	}
-	value, err := d.read(ctx, token)
-	if err != nil {
-		return err
-	}
-	d.say("   read    sail-4711 = %s", value)
-	if value != "14:03:10" {
-		return &ProcessError{Name: "read", Why: "the write was not seen: " + strconv.Quote(value)}
+	for range readCount {
+		value, err := d.read(ctx, token)
+		if err != nil {
+			return err
+		}
+		d.say("   read    sail-4711 = %s", value)
+		if value != "14:03:10" {
+			return &ProcessError{Name: "read", Why: "the write was not seen: " + strconv.Quote(value)}
+		}
 	}
 	return nil
 }
