Adapt limits to how databases answer; retry budget, report, log lines

Limits of a database's slots rise by a tenth of a slot with each good answer and halve when it is three times slower than the best of its group; the circuit opens at one slot or after eight failures in a row, and single probes close it. Retries are paid for by a tenth of each success.

Ruled out: opening the circuit at half of the answers failing.

--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -35,6 +35,7 @@
 	databases []*database
 	queues    []*queue
 	share     share
+	retries   retries
 }
 
 // database is the state of one database.
@@ -48,6 +49,7 @@
 	meter      meter
 	fleet      ledger
 	fleetMeter meter
+	limiter    limiter
 }
 
 // caller is what the scheduler knows of one caller in one rank.
@@ -242,7 +244,7 @@
 		return false
 	}
 	for range looksPerPick {
-		it := s.best(now, q, d.bit)
+		it := s.best(now, q, d)
 		if it == nil {
 			return false
 		}
@@ -261,11 +263,11 @@
 // best returns the work that d's bit may serve next: prompt work before late
 // work, then the earliest deadline. Prompt work that has become late changes
 // its class here.
-func (s *Scheduler) best(now time.Time, q *queue, bit uint64) *item {
+func (s *Scheduler) best(now time.Time, q *queue, d *database) *item {
 	for {
-		it := q.first(now, bit, classPrompt)
+		it := d.group.first(now, q, d.bit, classPrompt)
 		if it == nil {
-			return q.first(now, bit, classLate)
+			return d.group.first(now, q, d.bit, classLate)
 		}
 		if !it.isLate(now) {
 			return it
@@ -285,11 +287,11 @@
 }
 
 // first returns the earliest work of a class that the bit may serve.
-func (q *queue) first(now time.Time, bit uint64, c class) *item {
+func (g *group) first(now time.Time, q *queue, bit uint64, c class) *item {
 	total := q.usage.at(now)
 	var best *item
 	for _, l := range q.lanes {
-		if l.mask&bit == 0 || l.class != c {
+		if l.class != c || len(l.lines) == 0 || g.usable(now, l.mask)&bit == 0 {
 			continue
 		}
 		head := l.head(now, total)
@@ -307,7 +309,10 @@
 		if other == d {
 			return d
 		}
-		if other != nil && other.group == d.group && s.isFree(other) && s.allows(now, other, r) {
+		if other == nil || other.group != d.group || other.limiter.state != circuitClosed {
+			continue
+		}
+		if s.isFree(other) && s.allows(now, other, r) {
 			return other
 		}
 	}
@@ -320,6 +325,9 @@
 	it.started = now
 	it.database = d
 	s.running[it.work.Request] = it
+	if d.limiter.state != circuitClosed && d.limiter.probe == 0 && !now.Before(d.limiter.until) {
+		d.limiter.probe = it.work.Request
+	}
 	d.ledger.start(now, q.rank)
 	s.started(now, it)
 	s.charge(now, q, it, it.cost)
--- a/internal/core/rank/peers.go
+++ b/internal/core/rank/peers.go
@@ -23,18 +23,21 @@
 	until map[model.InstanceID]time.Time
 }
 
-// set replaces the live instances.
-func (p *peers) set(now time.Time, live []model.InstanceID) {
+// set replaces the live instances and returns those that are gone.
+func (p *peers) set(now time.Time, live []model.InstanceID) []model.InstanceID {
+	var gone []model.InstanceID
 	sorted := slices.Clone(live)
 	slices.Sort(sorted)
 	sorted = slices.Compact(sorted)
 	for _, id := range p.live {
 		if !slices.Contains(sorted, id) {
 			p.until[id] = now.Add(reserveTime)
+			gone = append(gone, id)
 		}
 	}
 	p.live = sorted
 	p.refresh(now)
+	return gone
 }
 
 // refresh drops the shares that are no longer reserved.
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -93,6 +93,10 @@
 	grants    []Grant
 	outbox    []message.SendPeer
 	order     []model.Rank
+	notes     []message.Note
+	gates     map[int]*noteGate
+	// hasFixedLimits turns adaptive limits off.
+	hasFixedLimits bool
 }
 
 // Option changes how a scheduler works.
@@ -101,6 +105,9 @@
 // WithShare chooses how the instances divide slots, one of ShareNames.
 func WithShare(name string) Option { return func(s *Scheduler) { s.way = name } }
 
+// WithFixedLimits turns adaptive limits and circuits off.
+func WithFixedLimits() Option { return func(s *Scheduler) { s.hasFixedLimits = true } }
+
 // NewScheduler returns a scheduler for the instance self. It takes no work
 // before Configure.
 func NewScheduler(self model.InstanceID, options ...Option) *Scheduler {
@@ -112,6 +119,7 @@
 		databases: map[model.DatabaseID]*database{},
 		waiting:   map[model.RequestID]*item{},
 		running:   map[model.RequestID]*item{},
+		gates:     map[int]*noteGate{},
 	}
 	s.peers.until = map[model.InstanceID]time.Time{}
 	s.peers.set(time.Time{}, []model.InstanceID{self})
@@ -173,7 +181,7 @@
 	for i, member := range declared.Databases {
 		d := known[member.Name]
 		if d == nil {
-			d = &database{id: member.Name}
+			d = &database{id: member.Name, limiter: newLimiter(s.limits.Slots)}
 			d.ledger.since, d.fleet.since = now, now
 			d.meter.since, d.fleetMeter.since = now, now
 		}
@@ -250,10 +258,12 @@
 	q := g.queueOf(&work)
 	it := &item{work: work, cost: s.kind(work.Kind).cost(now)}
 	refusal, ok := s.admit(now, g, q, it)
-	if ok {
-		s.enter(now, q, it)
+	if !ok {
+		s.noteRefused(now, &work, &refusal)
+		return refusal, false
 	}
-	return refusal, ok
+	s.enter(now, q, it)
+	return Refusal{}, true
 }
 
 // Requeue puts a running request back into the queue for another attempt. It
@@ -295,6 +305,7 @@
 		q := s.groups[it.work.Group].queueOf(&it.work)
 		s.leave(q, it)
 		q.count.expired++
+		s.noteExpired(now, &it.work)
 		s.expired = append(s.expired, it.work.Request)
 	}
 }
@@ -326,6 +337,7 @@
 	took := now.Sub(it.started)
 	it.database.ledger.stop(now, q.rank)
 	s.finished(it)
+	s.learn(now, it, ending)
 	s.charge(now, q, it, took-it.cost)
 	q.count.running--
 	if ending.Failed {
@@ -334,6 +346,7 @@
 	}
 	s.kind(it.work.Kind).measure(now, took)
 	q.count.served++
+	s.groups[it.work.Group].retries.add(retryShare)
 	if target := s.target(q.rank); target > 0 && now.Sub(it.work.Arrived) > target {
 		q.count.late++
 	}
@@ -365,10 +378,19 @@
 
 // SetPeers tells which instances are alive, this one included.
 func (s *Scheduler) SetPeers(now time.Time, live []model.InstanceID) {
-	s.peers.set(now, live)
+	for _, id := range s.peers.set(now, live) {
+		s.note(now, shareReserved(id, s.peers.until[id]))
+	}
 	s.elect(now)
 }
 
+// Forget ends the reserved share of an instance that has announced its leaving
+// and is not alive any more.
+func (s *Scheduler) Forget(now time.Time, id model.InstanceID) {
+	delete(s.peers.until, id)
+	s.peers.refresh(now)
+}
+
 // elect adopts the arbiters that the live instances give.
 func (s *Scheduler) elect(now time.Time) {
 	for _, g := range s.sequence {
--- a/internal/core/rank/share.go
+++ b/internal/core/rank/share.go
@@ -151,11 +151,12 @@
 	var wants []message.Want
 	for _, q := range g.queues {
 		for _, l := range q.lanes {
-			if l.mask == 0 || len(l.lines) == 0 {
+			mask := g.usable(now, l.mask)
+			if mask == 0 || len(l.lines) == 0 {
 				continue
 			}
 			wants = append(wants, message.Want{
-				Databases: g.names(l.mask),
+				Databases: g.names(mask),
 				Rank:      q.rank,
 				Late:      l.class == classLate,
 				Waiting:   l.waiting,
--- a/internal/core/rank/share_arbiter.go
+++ b/internal/core/rank/share_arbiter.go
@@ -48,6 +48,7 @@
 	if arbiter == w.holder.arbiter {
 		return
 	}
+	s.note(now, arbiterChanged(g, w.holder.arbiter, arbiter))
 	w.holder.follow(arbiter)
 	w.bench = nil
 	if arbiter == s.self {
@@ -252,6 +253,9 @@
 	if len(wants) > 0 && h.asked.IsZero() {
 		h.asked = now
 	}
+	if h.isAlone(now) {
+		s.note(now, arbiterSilent(g, h.arbiter))
+	}
 	demand := message.Demand{Group: g.id, Sequence: h.sequence, Seen: h.seen, Wants: wants}
 	for _, l := range h.leases {
 		demand.Held = append(demand.Held, message.HeldLease{Lease: l.number, Database: l.database.id, Rank: l.rank})
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/share_bench.go
@@ -227,9 +227,8 @@
 // hasFree reports whether a slot of d may be lent. While instances are
 // unreachable, their share stays free for them.
 func (b *bench) hasFree(s *Scheduler, now time.Time, d *database) bool {
-	slots := float64(b.limit(s, d)) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
-	busy := d.fleet.busy()
-	return d.fleetMeter.allows(now, slots, max(0, busy-slotsAhead))
+	slots := float64(b.limit(s, d)+slotsAhead) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
+	return d.fleetMeter.allows(now, slots, d.fleet.busy())
 }
 
 // limit returns the slots of d that all may use, as the most careful instance
@@ -323,7 +322,9 @@
 			continue
 		}
 		b.number++
-		b.add(now, &lease{number: b.number, to: best.from, database: d, rank: r})
+		lent := &lease{number: b.number, to: best.from, database: d, rank: r}
+		b.add(now, lent)
+		s.noteLent(now, lent)
 		return true
 	}
 	return false
@@ -349,6 +350,7 @@
 			}
 			victim.recall = true
 			victim.to.changed = true
+			s.noteRecalled(now, victim, best)
 		}
 	}
 }
--- a/internal/standin/flood/baseline.go
+++ b/internal/standin/flood/baseline.go
@@ -20,8 +20,12 @@
 	waiting []rank.Work
 	running map[model.RequestID]run
 	busy    map[model.DatabaseID]int
+	swept   time.Time
 }
 
+// sweepTime is the time between two looks for expired work.
+const sweepTime = 20 * time.Millisecond
+
 type run struct {
 	work     rank.Work
 	database model.DatabaseID
@@ -50,6 +54,10 @@
 
 // Expired drops what has passed its deadline.
 func (b *baseline) Expired(now time.Time) []model.RequestID {
+	if now.Sub(b.swept) < sweepTime {
+		return nil
+	}
+	b.swept = now
 	var gone []model.RequestID
 	kept := b.waiting[:0]
 	for _, work := range b.waiting {
@@ -67,6 +75,9 @@
 // databases are busy.
 func (b *baseline) Grant(_ time.Time, candidates rank.Candidates) []rank.Grant {
 	var grants []rank.Grant
+	if b.isFull() {
+		return nil
+	}
 	kept := b.waiting[:0]
 	for i, work := range b.waiting {
 		if b.isFull() {
--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -135,6 +135,11 @@
 	Failing float64
 	// FixedLimits turns adaptive limits off.
 	FixedLimits bool
+	// Cut lets no message pass between the instances of the first availability
+	// zone and the others during the flood. The databases are in reach of all.
+	Cut bool
+	// Crash lets the instance that lends the slots crash when the flood begins.
+	Crash bool
 	// Skewed lets all of the flood arrive at one instance.
 	Skewed bool
 }
--- a/internal/standin/flood/flood_test.go
+++ b/internal/standin/flood/flood_test.go
@@ -2,33 +2,44 @@
 
 import (
 	"flag"
-	"fmt"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
-
-	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
 var (
-	ways      = flag.String("ways", "baseline,fixed,demand,arbiter", "ways to divide slots")
-	loadsFlag = flag.String("loads", "0.5,1,2,5,10", "loads")
+	out       = flag.String("out", "", "file to which a table is written")
+	partNamed = flag.String("part", "floods", "table to write: floods, faults or peers")
+	waysNamed = flag.String("ways", "baseline,arbiter", "ways to divide slots")
+	loadsOf   = flag.String("loads", "0.5,1,2,5,10", "offered work as parts of capacity")
+	seedOf    = flag.Uint64("seed", 1, "seed of the arrivals")
 )
 
-func TestPrint(t *testing.T) {
-	for _, place := range []Place{Consortium, Reparto} {
-		for r := range loads {
-			for _, l := range strings.Split(*loadsFlag, ",") {
-				var load float64
-				fmt.Sscan(l, &load)
-				for _, way := range strings.Split(*ways, ",") {
-					res := Run(Scenario{Place: place, Way: way, Rank: model.Rank(r), Load: load, Seed: 1})
-					fmt.Printf("%-13s flood=%d load=%4.1f %-9s", place.Name, r, load, way)
-					for i := range res.Ranks {
-						fmt.Printf(" | %5.1f%% %5.3f+%5.3f/%5.2f p99 %4dms held %.3f", 100*res.Ranks[i].InsideShare(), res.UsefulBy[i], res.UsefulBy[i]*float64(res.Ranks[i].Late)/float64(max(1, res.Ranks[i].Inside)), res.OfferedBy[i], res.Ranks[i].Worst.Milliseconds(), res.HeldBy[i])
-					}
-					fmt.Printf(" | useful %.3f worth %.3f rec %v beyond %d msg/s %.0f\n", res.Useful, res.Worth, res.Recovery, res.Beyond, res.Messages)
-				}
-			}
+// TestTable writes a table where -out names a file.
+func TestTable(t *testing.T) {
+	if *out == "" {
+		t.Skip("-out names no file")
+	}
+	selection := Selection{Places: []Place{Consortium, Reparto}, Ways: strings.Split(*waysNamed, ","), Seed: *seedOf}
+	for _, text := range strings.Split(*loadsOf, ",") {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		selection.Loads = append(selection.Loads, load)
+	}
+	file, err := os.Create(*out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	for _, part := range Parts {
+		if part.Name != *partNamed {
+			continue
+		}
+		if err := Write(file, part, selection); err != nil {
+			t.Fatal(err)
 		}
 	}
 }
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -85,8 +85,9 @@
 	zone     int
 	schedule scheduler
 	requests map[model.RequestID]*request
-	tick     time.Duration
 	turn     int
+	// down says that the instance has crashed.
+	down bool
 }
 
 // database has slots, and a first-come-first-served line for what is beyond.
@@ -142,6 +143,13 @@
 	}
 	w.after(floodStart, func() { w.breakDatabase() })
 	w.after(floodEnd, func() { w.mendDatabase() })
+	if scenario.Crash {
+		w.after(floodStart, func() { w.crash() })
+	}
+	if scenario.Cut || scenario.Crash {
+		w.after(floodStart+noticeTime, func() { w.notice() })
+		w.after(floodEnd+noticeTime, func() { w.notice() })
+	}
 	for len(w.agenda) > 0 && w.agenda[0].at < runEnd {
 		e := heap.Pop(&w.agenda).(event)
 		w.now = e.at
@@ -182,7 +190,11 @@
 	if scenario.Way == baselineName {
 		return newBaseline(m, len(all))
 	}
-	s := rank.NewScheduler(id, rank.WithShare(scenario.Way))
+	options := []rank.Option{rank.WithShare(scenario.Way)}
+	if scenario.FixedLimits {
+		options = append(options, rank.WithFixedLimits())
+	}
+	s := rank.NewScheduler(id, options...)
 	s.Configure(origin, m)
 	s.SetPeers(origin, all)
 	return s
@@ -210,6 +222,44 @@
 	w.broken().slow = max(1, w.scenario.Slow)
 }
 
+// isCut reports whether no message passes between two instances.
+func (w *world) isCut(a, b *instance) bool {
+	if a.down || b.down {
+		return true
+	}
+	return w.scenario.Cut && w.isFlooding() && (a.zone == 0) != (b.zone == 0)
+}
+
+// noticeTime is how long instances take to notice that peers are gone or back.
+const noticeTime = time.Second
+
+// notice tells each instance which peers it can hear.
+func (w *world) notice() {
+	for _, i := range w.instances {
+		s, ok := i.schedule.(*rank.Scheduler)
+		if !ok {
+			return
+		}
+		var live []model.InstanceID
+		for _, other := range w.instances {
+			if other == i || !w.isCut(i, other) {
+				live = append(live, other.id)
+			}
+		}
+		s.SetPeers(w.clock(), live)
+	}
+}
+
+// crash lets the instance crash that lends the slots.
+func (w *world) crash() {
+	if s, ok := w.instances[0].schedule.(*rank.Scheduler); ok {
+		arbiter := s.Report(w.clock()).Groups[0].Arbiter
+		for _, i := range w.instances {
+			i.down = i.id == arbiter
+		}
+	}
+}
+
 func (w *world) mendDatabase() {
 	w.broken().failing = 0
 	w.broken().slow = 1
@@ -254,6 +304,9 @@
 	service := time.Duration((0.5 + 0.5*w.random.ExpFloat64()) * float64(loads[r].mean))
 	req := &request{id: w.next, rank: r, access: access, arrived: w.now, service: service}
 	at := w.instances[w.random.IntN(len(w.instances))]
+	for at.down {
+		at = w.instances[w.random.IntN(len(w.instances))]
+	}
 	if w.scenario.Skewed && w.isFlooding() && r == w.scenario.Rank {
 		at = w.instances[0]
 	}
@@ -288,6 +341,9 @@
 
 // step lets an instance decide.
 func (w *world) step(i *instance) {
+	if i.down {
+		return
+	}
 	for _, id := range i.schedule.Expired(w.clock()) {
 		w.end(i.requests[id], outcomeRefused)
 		delete(i.requests, id)
@@ -320,7 +376,7 @@
 func (w *world) pass(i *instance, sent message.SendPeer) {
 	w.messages++
 	for _, to := range w.instances {
-		if to.id == sent.To {
+		if to.id == sent.To && !w.isCut(i, to) {
 			w.after(w.delay(i.zone, to.zone), func() {
 				to.schedule.Hear(w.clock(), i.id, sent.Body)
 				w.step(to)
@@ -382,13 +438,17 @@
 
 // answered takes an answer in at the instance.
 func (w *world) answered(j job, failed bool) {
+	if j.from.down {
+		w.end(j.req, outcomeFailed)
+		return
+	}
 	j.req.tries++
 	ending := rank.Ending{Elapsed: w.now - j.req.sent, Failed: failed}
 	if w.now >= floodStart+settleTime && w.now < floodEnd {
 		w.held[j.req.rank] += w.now - j.req.sent
 	}
 	switch {
-	case failed && j.req.tries < maxTries:
+	case failed && j.req.tries < maxTries && w.mayRetry(j.from):
 		j.from.schedule.Requeue(w.clock(), j.req.id, ending)
 	case failed:
 		j.from.schedule.Finish(w.clock(), j.req.id, ending)
@@ -402,6 +462,12 @@
 	w.step(j.from)
 }
 
+// mayRetry asks the instance's retry budget; the baseline has none.
+func (w *world) mayRetry(i *instance) bool {
+	s, ok := i.schedule.(*rank.Scheduler)
+	return !ok || s.AllowRetry(w.clock(), "group")
+}
+
 // -----------------------------------------------------------------------------
 // Figures.
 
--- /dev/null
+++ b/internal/standin/flood/table.go
@@ -0,0 +1,154 @@
+package flood
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Selection chooses the runs of a table.
+type Selection struct {
+	Places []Place
+	Ways   []string
+	Loads  []float64
+	Seed   uint64
+}
+
+// Part is one table.
+type Part struct {
+	Name string
+	// Help tells what the table compares.
+	Help string
+	// Scenarios returns its runs, a line each.
+	Scenarios func(Selection) []Scenario
+}
+
+// Parts lists the tables.
+var Parts = []Part{
+	{Name: "floods", Help: "each rank floods, by load and way to divide slots", Scenarios: floods},
+	{Name: "faults", Help: "one database is slow or fails, with adaptive and with fixed limits", Scenarios: faults},
+	{Name: "peers", Help: "peers are cut off or crash, or the flood enters at one instance", Scenarios: cuts},
+}
+
+// Write runs the scenarios of a part and writes one line for each.
+func Write(out io.Writer, part Part, selection Selection) error {
+	table := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
+	head := "place\tway\tcase\tflood\tload\t"
+	for _, declared := range Manifest(Consortium).Ranks {
+		head += declared.Name + " inside\tuseful\tlate\tp99\theld\t"
+	}
+	_, _ = fmt.Fprintln(table, head+"useful\tworth\trecovery\tbeyond\tmessages\t")
+	for _, scenario := range part.Scenarios(selection) {
+		_, _ = fmt.Fprintln(table, line(Run(scenario)))
+	}
+	return table.Flush()
+}
+
+// line formats one result.
+func line(result Result) string {
+	s := &result.Scenario
+	text := fmt.Sprintf("%s\t%s\t%s\t%s\t%g\t", s.Place.Name, s.Way, s.label(), Manifest(s.Place).Ranks[s.Rank].Name, s.Load)
+	for r := range result.Ranks {
+		rank := &result.Ranks[r]
+		text += fmt.Sprintf("%.1f%%\t%.3f\t%.1f%%\t%dms\t%.3f\t",
+			100*rank.InsideShare(), result.UsefulBy[r], 100*rank.lateShare(), rank.Worst.Milliseconds(), result.HeldBy[r])
+	}
+	recovery := "never"
+	if result.Recovery >= 0 {
+		recovery = result.Recovery.String()
+	}
+	return text + fmt.Sprintf("%.3f\t%.3f\t%s\t%d\t%.0f/s\t", result.Useful, result.Worth, recovery, result.Beyond, result.Messages)
+}
+
+// lateShare returns the part of the offered requests that were answered after
+// the target.
+func (r *RankResult) lateShare() float64 {
+	return float64(r.Late) / float64(max(1, r.Offered))
+}
+
+// label names what is wrong in a scenario.
+func (s *Scenario) label() string {
+	var text string
+	switch {
+	case s.Slow > 1:
+		text = fmt.Sprintf("slow %gx", s.Slow)
+	case s.Failing > 0:
+		text = fmt.Sprintf("fails %g%%", 100*s.Failing)
+	case s.Cut:
+		text = "cut off"
+	case s.Crash:
+		text = "crash"
+	case s.Skewed:
+		text = "one entry"
+	default:
+		return "-"
+	}
+	if s.Cut || s.Crash || s.Skewed {
+		return text
+	}
+	if s.SlowPrimary {
+		text += " primary"
+	}
+	if s.FixedLimits {
+		return text + ", fixed limits"
+	}
+	return text + ", adaptive"
+}
+
+// floods returns each rank's flood at each load in each way.
+func floods(selection Selection) []Scenario {
+	var all []Scenario
+	for _, place := range selection.Places {
+		for r := range loads {
+			for _, load := range selection.Loads {
+				for _, way := range selection.Ways {
+					all = append(all, Scenario{Place: place, Way: way, Rank: model.Rank(r), Load: load, Seed: selection.Seed})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// faults returns slow and failing databases, with adaptive and fixed limits.
+func faults(selection Selection) []Scenario {
+	kinds := []Scenario{
+		{Slow: 10},
+		{Slow: 10, SlowPrimary: true},
+		{Failing: 1},
+		{Failing: 0.3},
+		{Failing: 0.3, SlowPrimary: true},
+	}
+	var all []Scenario
+	for _, place := range selection.Places {
+		for _, kind := range kinds {
+			for _, load := range selection.Loads {
+				for _, fixed := range []bool{false, true} {
+					kind.Place, kind.Way, kind.Rank = place, selection.Ways[len(selection.Ways)-1], 2
+					kind.Load, kind.Seed, kind.FixedLimits = load, selection.Seed, fixed
+					all = append(all, kind)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// cuts returns peers that are cut off or crash, and a flood at one instance.
+func cuts(selection Selection) []Scenario {
+	var all []Scenario
+	for _, place := range selection.Places {
+		for _, kind := range []Scenario{{Cut: true}, {Crash: true}, {Skewed: true}} {
+			for _, load := range selection.Loads {
+				for _, way := range selection.Ways {
+					kind.Place, kind.Way, kind.Rank = place, way, 2
+					kind.Load, kind.Seed = load, selection.Seed
+					all = append(all, kind)
+				}
+			}
+		}
+	}
+	return all
+}
