Forget the demand of instances that are gone

An arbiter that stayed in office over a cut kept the last demand of the instances on the other side. Demand that is not repeated for 100 ms no longer counts, nor does that of instances that are not alive.

--- a/internal/core/rank/share_arbiter.go
+++ b/internal/core/rank/share_arbiter.go
@@ -21,6 +21,9 @@
 	// permitKeep is the time after which a permit is repeated to an instance
 	// that asks.
 	permitKeep = 25 * time.Millisecond
+	// wantFades is the age at which a demand that was not repeated no longer
+	// counts.
+	wantFades = 4 * permitKeep
 	// arbiterPatience is how long an instance waits for the arbiter's answer
 	// before it goes on with an equal share.
 	arbiterPatience = 100 * time.Millisecond
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/share_bench.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -190,10 +191,38 @@
 // -----------------------------------------------------------------------------
 // Decisions.
 
+// forget drops the wants of instances that are gone or no longer ask, and the
+// instances themselves once their leases have ended.
+func (b *bench) forget(s *Scheduler, now time.Time) {
+	kept := b.petitioners[:0]
+	for _, p := range b.petitioners {
+		isLive := slices.Contains(s.peers.live, p.id)
+		if !isLive || now.Sub(p.heard) > wantFades {
+			p.wants = p.wants[:0]
+		}
+		if isLive || b.holds(p) {
+			kept = append(kept, p)
+		}
+	}
+	clear(b.petitioners[len(kept):])
+	b.petitioners = kept
+}
+
+// holds reports whether an instance has leases.
+func (b *bench) holds(p *petitioner) bool {
+	for _, l := range b.leases {
+		if l.to == p {
+			return true
+		}
+	}
+	return false
+}
+
 // decide gives free slots to the demand and recalls leases for demand that has
 // a better claim.
 func (b *bench) decide(s *Scheduler, now time.Time, g *group) {
 	b.expire(now)
+	b.forget(s, now)
 	if !b.isReady(s, now) {
 		return
 	}
