--- a/internal/core/rank/share_arbiter.go
+++ b/internal/core/rank/share_arbiter.go
@@ -21,6 +21,9 @@
 	// permitKeep is the time after which a permit is repeated to an instance
 	// that asks.
 	permitKeep = 25 * time.Millisecond
+	// wantFades is the age at which a demand that was not repeated no longer
+	// counts.
+	wantFades = 4 * permitKeep
 	// arbiterPatience is how long an instance waits for the arbiter's answer
 	// before it goes on with an equal share.
 	arbiterPatience = 100 * time.Millisecond
@@ -48,6 +51,7 @@
 	if arbiter == w.holder.arbiter {
 		return
 	}
+	s.note(now, arbiterChanged(g, w.holder.arbiter, arbiter))
 	w.holder.follow(arbiter)
 	w.bench = nil
 	if arbiter == s.self {
@@ -252,6 +256,9 @@
 	if len(wants) > 0 && h.asked.IsZero() {
 		h.asked = now
 	}
+	if h.isAlone(now) {
+		s.note(now, arbiterSilent(g, h.arbiter))
+	}
 	demand := message.Demand{Group: g.id, Sequence: h.sequence, Seen: h.seen, Wants: wants}
 	for _, l := range h.leases {
 		demand.Held = append(demand.Held, message.HeldLease{Lease: l.number, Database: l.database.id, Rank: l.rank})
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/share_bench.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -190,10 +191,38 @@
 // -----------------------------------------------------------------------------
 // Decisions.
 
+// forget drops the wants of instances that are gone or no longer ask, and the
+// instances themselves once their leases have ended.
+func (b *bench) forget(s *Scheduler, now time.Time) {
+	kept := b.petitioners[:0]
+	for _, p := range b.petitioners {
+		isLive := slices.Contains(s.peers.live, p.id)
+		if !isLive || now.Sub(p.heard) > wantFades {
+			p.wants = p.wants[:0]
+		}
+		if isLive || b.holds(p) {
+			kept = append(kept, p)
+		}
+	}
+	clear(b.petitioners[len(kept):])
+	b.petitioners = kept
+}
+
+// holds reports whether an instance has leases.
+func (b *bench) holds(p *petitioner) bool {
+	for _, l := range b.leases {
+		if l.to == p {
+			return true
+		}
+	}
+	return false
+}
+
 // decide gives free slots to the demand and recalls leases for demand that has
 // a better claim.
 func (b *bench) decide(s *Scheduler, now time.Time, g *group) {
 	b.expire(now)
+	b.forget(s, now)
 	if !b.isReady(s, now) {
 		return
 	}
@@ -227,9 +256,8 @@
 // hasFree reports whether a slot of d may be lent. While instances are
 // unreachable, their share stays free for them.
 func (b *bench) hasFree(s *Scheduler, now time.Time, d *database) bool {
-	slots := float64(b.limit(s, d)) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
-	busy := d.fleet.busy()
-	return d.fleetMeter.allows(now, slots, max(0, busy-slotsAhead))
+	slots := float64(b.limit(s, d)+slotsAhead) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
+	return d.fleetMeter.allows(now, slots, d.fleet.busy())
 }
 
 // limit returns the slots of d that all may use, as the most careful instance
@@ -323,7 +351,9 @@
 			continue
 		}
 		b.number++
-		b.add(now, &lease{number: b.number, to: best.from, database: d, rank: r})
+		lent := &lease{number: b.number, to: best.from, database: d, rank: r}
+		b.add(now, lent)
+		s.noteLent(now, lent)
 		return true
 	}
 	return false
@@ -349,6 +379,7 @@
 			}
 			victim.recall = true
 			victim.to.changed = true
+			s.noteRecalled(now, victim, best)
 		}
 	}
 }
