--- a/internal/edge/caller/fake_core_test.go
+++ b/internal/edge/caller/fake_core_test.go
@@ -165,3 +165,12 @@
 func (b *bench) url(parameters string) string {
 	return "postgres://officer@" + b.edge.Address().String() + "/" + string(testGroup) + "?sslmode=disable" + parameters
 }
+
+// refusingCore refuses every request.
+type refusingCore struct{ *fakeCore }
+
+func (f refusingCore) Post(event message.Event) {
+	if arrived, ok := event.(message.RequestArrived); ok {
+		f.edge.Act(message.Refuse{Request: arrived.Request, Why: message.RefuseOverload})
+	}
+}
--- a/internal/edge/caller/fake_database_test.go
+++ b/internal/edge/caller/fake_database_test.go
@@ -115,6 +115,13 @@
 	return append([]string(nil), db.seen...)
 }
 
+// connections returns how many connections were opened.
+func (db *fakeDatabase) connections() int {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	return db.opened
+}
+
 // resets returns how often a connection was reset.
 func (db *fakeDatabase) resets() int {
 	db.mu.Lock()
--- /dev/null
+++ b/internal/edge/caller/main_test.go
@@ -0,0 +1,16 @@
+package caller
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	err := flag.Set("rapid.seed", "7")
+	if err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/edge/caller/startup_test.go
@@ -0,0 +1,203 @@
+package caller
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// certificate returns a TLS setting with a certificate of its own.
+func certificate(t *testing.T) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}}}
+}
+
+// TestAdmission gives who may connect, and how.
+func TestAdmission(t *testing.T) {
+	hash, err := NewPasswordHash("regatta")
+	if err != nil {
+		t.Fatal(err)
+	}
+	users := Users{"officer": hash}
+	secured := certificate(t)
+	cases := []struct {
+		name    string
+		options Options
+		user    string
+		mode    string
+		want    string
+	}{
+		{"trusted", Options{Trust: true}, "anybody", "disable", ""},
+		{"no users", Options{}, "officer:regatta", "disable", "28000"},
+		{"password", Options{Users: users}, "officer:regatta", "disable", ""},
+		{"wrong password", Options{Users: users}, "officer:dinghy", "disable", "28P01"},
+		{"unknown user", Options{Users: users}, "sailor:regatta", "disable", "28P01"},
+		{"password over TLS", Options{Users: users, TLS: secured}, "officer:regatta", "require", ""},
+		{"TLS required", Options{Users: users, TLS: secured, RequireTLS: true}, "officer:regatta", "disable", "28000"},
+		{"TLS required and given", Options{Users: users, TLS: secured, RequireTLS: true}, "officer:regatta", "require", ""},
+		{"no TLS to give", Options{Trust: true}, "officer", "require", "broken"},
+		{"own parameter", Options{Trust: true}, "officer", "disable&eelgrassfold.kind=post", ""},
+		{"unknown own parameter", Options{Trust: true}, "officer", "disable&eelgrassfold.rank=1", "22023"},
+		{"token of another group", Options{Trust: true}, "officer", "disable&eelgrassfold.token=libro/7:1", "22023"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, func(_ *bench, options *Options) {
+				test.options.Listen, test.options.Key = options.Listen, options.Key
+				*options = test.options
+			})
+			url := "postgres://" + test.user + "@" + b.edge.Address().String() + "/ratings?sslmode=" + test.mode
+			conn, err := pgx.Connect(context.Background(), url)
+			if diff := cmp.Diff(test.want, stateOf(err)); diff != "" {
+				t.Fatal(diff, err)
+			}
+			if err == nil {
+				err = conn.QueryRow(context.Background(), "select a").Scan(new(string))
+				conn.Close(context.Background())
+			}
+			if test.want == "" && err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestSettingsRefused gives settings that don't go together.
+func TestSettingsRefused(t *testing.T) {
+	for name, options := range map[string]Options{
+		"TLS without certificate": {Key: "i1", RequireTLS: true},
+		"no key":                  {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := NewEdge(options, nil, nil, logr.Discard()).Start(context.Background())
+			var fault *OptionsError
+			if !errors.As(err, &fault) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// TestPasswordHash reads what it writes, and refuses what it does not.
+func TestPasswordHash(t *testing.T) {
+	hash, err := NewPasswordHash("regatta")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := ParsePasswordHash(hash.String())
+	if err != nil || !again.matches("regatta") || again.matches("Regatta") {
+		t.Error("the hash is not the same after String and ParsePasswordHash")
+	}
+	for _, text := range []string{"", "regatta", "pbkdf2-sha256$0$AA$AA", "pbkdf2-sha256$1$AA$AA", "md5$1$AAAAAAAAAAAAAAAAAAAAAA$AA"} {
+		_, err = ParsePasswordHash(text)
+		var fault *HashError
+		if !errors.As(err, &fault) {
+			t.Errorf("%q is taken", text)
+		}
+	}
+}
+
+// garbage lists first packets that are not the protocol's.
+var garbage = map[string][]byte{
+	"nothing":            {},
+	"http":               []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+	"zero length":        {0, 0, 0, 0, 0, 0, 0, 0},
+	"huge length":        {0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+	"negative length":    {0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+	"protocol 2":         startupPacket(0x20000, "user\x00a\x00\x00"),
+	"no end":             startupPacket(0x30000, "user\x00a"),
+	"no user":            startupPacket(0x30000, "\x00"),
+	"short cancel":       startupPacket(codeCancel, "\x00\x00"),
+	"cancel of nobody":   startupPacket(codeCancel, "\x00\x00\x00\x01abcd"),
+	"TLS twice":          append(startupPacket(codeTLS, ""), startupPacket(codeTLS, "")...),
+	"encryption":         startupPacket(codeEncrypted, ""),
+	"valid, then rubish": append(startupPacket(0x30000, "user\x00a\x00\x00"), "\xff\xff\xff\xff\xff\xff"...),
+}
+
+// TestGarbage sends first packets that are not the protocol's: each connection
+// ends, and the edge goes on.
+func TestGarbage(t *testing.T) {
+	b := newBench(t)
+	for name, packet := range garbage {
+		t.Run(name, func(t *testing.T) {
+			caller := dialRaw(t, b)
+			caller.conn.Write(packet)
+			caller.conn.(*net.TCPConn).CloseWrite()
+			_, err := io.Copy(io.Discard, caller.conn)
+			if isTimeout(err) {
+				t.Error("the connection stays open")
+			}
+		})
+	}
+	startRaw(t, b).query("select a")
+}
+
+// FuzzCaller feeds bytes to a connection from its first on. Whatever they are,
+// the session has to end with the connection.
+func FuzzCaller(f *testing.F) {
+	start := startupPacket(0x30000, "user\x00a\x00database\x00ratings\x00\x00")
+	encode := func(messages ...pgproto3.FrontendMessage) []byte {
+		raw := append([]byte(nil), start...)
+		for _, message := range messages {
+			raw, _ = message.Encode(raw)
+		}
+		return raw
+	}
+	for _, packet := range garbage {
+		f.Add(packet)
+	}
+	f.Add(encode(&pgproto3.Query{String: "SHOW eelgrassfold.token"}))
+	f.Add(encode(&pgproto3.Query{String: "SET eelgrassfold.kind = 'a' /*kind='b'*/"}))
+	f.Add(encode(&pgproto3.Parse{Name: "s", Query: "select a"}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{}))
+	f.Add(encode(&pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Flush{}, &pgproto3.Terminate{}))
+	f.Add(append(encode(), 'B', 0, 0, 0, 5, 'x'))
+	f.Add(append(encode(), 'Q', 0, 0, 0, 5, 'x'))
+	core := &fakeCore{keys: map[model.RequestID]string{}, quiet: true}
+	edge := NewEdge(Options{Listen: netip.AddrPort{}, Key: "i1", Trust: true, Message: 1 << 16}, nil, refusingCore{core}, logr.Discard())
+	core.edge = edge
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		near, far := net.Pipe()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			edge.serve(ctx, far)
+		}()
+		go io.Copy(io.Discard, near)
+		near.SetWriteDeadline(time.Now().Add(rawTimeout))
+		near.Write(raw)
+		near.Close()
+		<-ended
+	})
+}
--- /dev/null
+++ b/internal/edge/postgres/frame_test.go
@@ -0,0 +1,123 @@
+package postgres
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const testLimit = 1 << 17
+
+// stream returns the bytes of three messages, of which one is larger than the
+// pooled buffers.
+func stream(t testing.TB) ([]byte, [][]byte) {
+	t.Helper()
+	var all []byte
+	var parts [][]byte
+	for _, text := range []string{"select 1", string(bytes.Repeat([]byte("x"), 3*bufferSize)), ""} {
+		raw, err := (&pgproto3.Query{String: text}).Encode(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts = append(parts, raw)
+		all = append(all, raw...)
+	}
+	return all, parts
+}
+
+// TestReader cuts the same stream that comes in different pieces.
+func TestReader(t *testing.T) {
+	all, want := stream(t)
+	sources := map[string]func() io.Reader{
+		"whole":         func() io.Reader { return bytes.NewReader(all) },
+		"byte by byte":  func() io.Reader { return iotest.OneByteReader(bytes.NewReader(all)) },
+		"halves":        func() io.Reader { return iotest.HalfReader(bytes.NewReader(all)) },
+		"with timeouts": func() io.Reader { return &timeouts{source: iotest.HalfReader(bytes.NewReader(all))} },
+	}
+	for name, source := range sources {
+		t.Run(name, func(t *testing.T) {
+			for _, reader := range []*Reader{NewReader(source(), testLimit), NewBusyReader(source(), testLimit)} {
+				if diff := cmp.Diff(want, frames(t, reader)); diff != "" {
+					t.Error("the frames are not those of the stream")
+				}
+			}
+		})
+	}
+}
+
+// frames reads to the end of the stream.
+func frames(t *testing.T, reader *Reader) [][]byte {
+	t.Helper()
+	var got [][]byte
+	for {
+		frame, err := reader.Next()
+		switch {
+		case err == nil:
+			got = append(got, bytes.Clone(frame.Raw))
+		case errors.Is(err, io.EOF):
+			return got
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			t.Fatal(err)
+		}
+	}
+}
+
+// timeouts fails every second read with a timeout.
+type timeouts struct {
+	source io.Reader
+	n      int
+}
+
+func (r *timeouts) Read(b []byte) (int, error) {
+	r.n++
+	if r.n%2 == 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return r.source.Read(b)
+}
+
+// TestReaderRefuses gives lengths that are impossible or too great.
+func TestReaderRefuses(t *testing.T) {
+	for name, raw := range map[string][]byte{
+		"negative":  {'Q', 0xff, 0xff, 0xff, 0xff},
+		"too short": {'Q', 0, 0, 0, 3},
+		"too great": {'Q', 0x7f, 0xff, 0xff, 0xff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := NewReader(bytes.NewReader(raw), testLimit).Next()
+			var size *SizeError
+			if !errors.As(err, &size) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// FuzzReader cuts any bytes: every frame has the length that it says, and the
+// frames together are the beginning of the stream.
+func FuzzReader(f *testing.F) {
+	all, _ := stream(f)
+	f.Add(all[:200])
+	f.Add([]byte{'Q', 0, 0, 0, 4, 'S', 0, 0, 0, 4})
+	f.Add([]byte{'Q', 0, 0, 0, 3})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		reader := NewReader(bytes.NewReader(raw), testLimit)
+		var got []byte
+		for {
+			frame, err := reader.Next()
+			if err != nil {
+				break
+			}
+			got = append(got, frame.Raw...)
+		}
+		if !bytes.HasPrefix(raw, got) {
+			t.Error("frames are not the stream's")
+		}
+	})
+}
