--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -5,9 +5,8 @@
 // # What flows in and out
 //
 // The directory of the built binaries flows in. What is done, and the
-// instances' log lines about it, flow out on standard output. All files stand
-// in a temporary directory that is removed at the end; every process that the
-// demo started is ended by it, whatever happens.
+// instances' log lines about it, flow out on standard output. Package deploy
+// starts and ends the processes.
 //
 // # Usage
 //
@@ -19,14 +18,17 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 )
 
 const (
@@ -44,11 +46,8 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	d, err := newDemo(*binaries, os.Stdout)
-	if err == nil {
-		err = d.run(ctx)
-	}
-	if err != nil {
+	d := &demo{out: os.Stdout, binaries: *binaries}
+	if err := d.run(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "demo:", err)
 		return 1
 	}
@@ -57,54 +56,21 @@
 
 // demo holds what was started.
 type demo struct {
+	*deploy.Deployment
 	out      io.Writer
 	binaries string
-	folder   string
-	started  []*process
-
-	platform  string
-	databases []node
-	instances []instance
-}
-
-// node is one database.
-type node struct {
-	name, zone string
-	address    netip.AddrPort
-}
-
-// instance is one instance of eelgrassfold.
-type instance struct {
-	name, zone                string
-	callers, peers, operators netip.AddrPort
-	process                   *process
-}
-
-func newDemo(binaries string, out io.Writer) (*demo, error) {
-	folder, err := os.MkdirTemp("", "eelgrassfold-demo-")
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	return &demo{out: out, binaries: binaries, folder: folder}, nil
 }
 
 func (d *demo) run(ctx context.Context) (err error) {
+	if err := d.start(ctx); err != nil {
+		return err
+	}
 	defer func() {
 		if failure := d.stop(err != nil); err == nil {
 			err = failure
 		}
 	}()
-	steps := []func(context.Context) error{
-		d.startPlatform,
-		d.startDatabases,
-		d.startInstances,
-		d.submit,
-		d.awaitManifest,
-		d.writeAndRead,
-		d.showLog,
-		d.showStatus,
-	}
-	for _, step := range steps {
+	for _, step := range []func(context.Context) error{d.writeAndRead, d.showLog, d.showStatus} {
 		if err := step(ctx); err != nil {
 			return err
 		}
@@ -112,29 +78,46 @@
 	return nil
 }
 
+// start starts the deployment under the example manifest.
+func (d *demo) start(ctx context.Context) error {
+	example, err := os.ReadFile(filepath.Join("examples", "consortium", "manifest.toml"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	text, _, _ := strings.Cut(string(example), "[[group]]")
+	d.say("== start one platform, three databases, two instances, and submit examples/consortium")
+	d.Deployment, err = deploy.Start(ctx, deploy.Options{
+		Binaries:  d.binaries,
+		Zones:     []model.ZoneID{"lanier", "savannah", "allatoona"},
+		Groups:    []model.GroupID{group},
+		Instances: 2,
+		Manifest:  text,
+	})
+	if err != nil {
+		return err
+	}
+	d.say("   platform    %s", d.Platform)
+	for _, database := range d.Databases {
+		d.say("   %-11s %s in %s", database.Name, database.Address, database.Zone)
+	}
+	for _, in := range d.Instances {
+		d.say("   %-11s %s in %s, operators %s", in.Name, in.Callers, in.Zone, in.Operators)
+	}
+	return nil
+}
+
 func (d *demo) say(format string, values ...any) {
 	_, _ = fmt.Fprintf(d.out, format+"\n", values...)
 }
 
-// stop ends all processes, the ones started last first, and removes the files.
-// After a failure it shows the last lines of each instance's log.
+// stop ends all processes. After a failure it shows the last lines of each log.
 func (d *demo) stop(failed bool) error {
 	d.say("== stop: instances drain, then the stand-ins end")
-	var first error
-	for i := len(d.started) - 1; i >= 0; i-- {
-		if err := d.started[i].stop(); err != nil && first == nil {
-			first = err
-		}
-	}
-	if failed || first != nil {
-		for _, process := range d.started {
-			d.say("-- the end of the log of %s:\n%s", process.name, process.tail())
+	err := d.Stop()
+	if failed || err != nil {
+		for _, process := range d.Processes() {
+			d.say("-- the end of the log of %s:\n%s", process.Name, process.Tail())
 		}
 	}
-	if err := os.RemoveAll(d.folder); err != nil && first == nil {
-		first = errors.WithStack(err)
-	}
-	return first
+	return err
 }
-
-func (d *demo) path(name string) string { return filepath.Join(d.folder, name) }
--- a/internal/standin/demo/process.go
+++ b/internal/standin/deploy/process.go
@@ -1,4 +1,4 @@
-package demo
+package deploy
 
 import (
 	"bufio"
@@ -33,9 +33,9 @@
 // Error implements error.
 func (e *ProcessError) Error() string { return e.Name + ": " + e.Why }
 
-// process is one process that the demo started.
-type process struct {
-	name    string
+// Process is one process that a deployment started.
+type Process struct {
+	Name    string
 	command *exec.Cmd
 	log     lockedBuffer
 	ready   chan map[string]string
@@ -65,10 +65,10 @@
 
 // start starts a binary. Its first line on standard output, where there is one,
 // is JSON with the addresses that it has bound.
-func (d *demo) start(name, binary string, args ...string) (*process, error) {
-	p := &process{
-		name:    name,
-		command: exec.Command(filepath.Join(d.binaries, binary), args...),
+func (d *Deployment) start(name, binary string, args ...string) (*Process, error) {
+	p := &Process{
+		Name:    name,
+		command: exec.Command(filepath.Join(d.options.Binaries, binary), args...),
 		ready:   make(chan map[string]string, 1),
 		ended:   make(chan struct{}),
 	}
@@ -86,7 +86,7 @@
 }
 
 // watch reads standard output to its end, then waits for the process.
-func (p *process) watch(out io.Reader) {
+func (p *Process) watch(out io.Reader) {
 	scanner := bufio.NewScanner(out)
 	if scanner.Scan() {
 		var addresses map[string]string
@@ -99,19 +99,19 @@
 }
 
 // addresses waits until the process tells what it has bound.
-func (p *process) addresses(ctx context.Context) (map[string]string, error) {
+func (p *Process) addresses(ctx context.Context) (map[string]string, error) {
 	select {
 	case addresses := <-p.ready:
 		return addresses, nil
 	case <-p.ended:
-		return nil, &ProcessError{Name: p.name, Why: fmt.Sprintf("ended early: %v", p.failure)}
+		return nil, &ProcessError{Name: p.Name, Why: fmt.Sprintf("ended early: %v", p.failure)}
 	case <-ctx.Done():
-		return nil, &ProcessError{Name: p.name, Why: "did not become ready"}
+		return nil, &ProcessError{Name: p.Name, Why: "did not become ready"}
 	}
 }
 
-// hasEnded reports whether the process is gone, without waiting for it.
-func (p *process) hasEnded() bool {
+// HasEnded reports whether the process is gone, without waiting for it.
+func (p *Process) HasEnded() bool {
 	select {
 	case <-p.ended:
 		return true
@@ -120,25 +120,51 @@
 	}
 }
 
-// stop asks the process to end, and kills it where it does not.
-func (p *process) stop() error {
+// Stop asks the process to end, and kills it where it does not.
+func (p *Process) Stop() error {
 	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
-		return &ProcessError{Name: p.name, Why: "ended early"}
+		return &ProcessError{Name: p.Name, Why: "ended early"}
 	}
 	select {
 	case <-p.ended:
 		if p.failure != nil {
-			return &ProcessError{Name: p.name, Why: p.failure.Error()}
+			return &ProcessError{Name: p.Name, Why: p.failure.Error()}
 		}
 		return nil
 	case <-time.After(stopLimit):
 		_ = p.command.Process.Kill()
 		<-p.ended
-		return &ProcessError{Name: p.name, Why: "did not end after SIGTERM"}
+		return &ProcessError{Name: p.Name, Why: "did not end after SIGTERM"}
 	}
 }
 
-func (p *process) tail() string {
-	lines := p.log.lines()
+// Tail returns the last lines of the log.
+func (p *Process) Tail() string {
+	lines := p.Lines()
 	return strings.Join(lines[max(0, len(lines)-tailLines):], "\n")
 }
+
+// Lines returns what the process has logged.
+func (p *Process) Lines() []string { return p.log.lines() }
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// Pause stops the process without ending it, and Resume lets it go on.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+func (p *Process) signal(s syscall.Signal) error {
+	return errors.WithStack(p.command.Process.Signal(s))
+}
+
+// Usage returns the processor time and the resident memory of the process so
+// far, in seconds and bytes, as the operating system counts them.
+func (p *Process) Usage() (processor time.Duration, resident int64, err error) {
+	return readUsage(p.command.Process.Pid)
+}
