Test that a lost read gives up all kept connections

Cause: nothing showed that the other connections kept for reads, which may have gone silent with the lost one, are given up. Change: a platform with two kept connections that go silent.

--- a/internal/edge/platform/edge_test.go
+++ b/internal/edge/platform/edge_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
 	"sync"
@@ -259,6 +261,47 @@
 	}
 }
 
+// Two connections are kept after reads and both go silent: the first lost read
+// gives up both.
+func TestReadsLeaveSilentConnectionsTogether(t *testing.T) {
+	silent, arrived, released := make(chan struct{}), make(chan struct{}, 10), make(chan struct{})
+	defer close(silent)
+	address, _ := listen(t, func(conn net.Conn, _ *atomic.Int32) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		arrived <- struct{}{}
+		<-released
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		<-silent
+	})
+	port, kept := newPort(address), make(chan error, 10)
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		PutIdleConn: func(err error) { kept <- err },
+	})
+	for range 2 {
+		go func() { _, _ = port.ReadObject(ctx, "sum") }()
+	}
+	<-arrived
+	<-arrived
+	close(released)
+	if diff := cmp.Diff([]error{nil, nil}, []error{<-kept, <-kept}); diff != "" {
+		t.Fatal(diff)
+	}
+	edge, events := startEdge(t, platform.Options{Port: port})
+	lost := readObject
+	lost.Timeout = 30 * time.Millisecond
+	edge.Act(lost)
+	if diff := cmp.Diff(message.PlatformOK, (<-events).(message.ObjectRead).Err); diff == "" {
+		t.Error("a silent connection answered")
+	}
+	edge.Act(readObject)
+	want := message.ObjectRead{Ask: 7, Name: "sum", Body: []byte("body")}
+	if diff := cmp.Diff(want, <-events); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestNoListenerIsUnsent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
