--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -80,6 +80,9 @@
 	e.measure(r, ended)
 	e.free(r, endingOf(ended, false))
 	r.database.applied = r.database.applied.Max(answer.Position)
+	if r.isRead() {
+		e.do(message.Count{Name: "reads", Key: r.database.status.Role.String()})
+	}
 	if r.database != r.group.primary {
 		r.database.lag = min(r.database.lag, e.now.Sub(r.minimumAt))
 	}
--- a/internal/core/message/event_operator.go
+++ b/internal/core/message/event_operator.go
@@ -88,6 +88,9 @@
 	Fields []event.Field
 }
 
+// Count adds one to a counter: Key in the map Name.
+type Count struct{ Name, Key string }
+
 // Readiness tells the operators' edge whether the instance can take callers. It
 // is sent when it changes.
 type Readiness struct {
@@ -106,5 +109,6 @@
 func (Reported) isAction()        {}
 func (ManifestDecided) isAction() {}
 func (Note) isAction()            {}
+func (Count) isAction()           {}
 func (Readiness) isAction()       {}
 func (Leave) isAction()           {}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -188,6 +188,8 @@
 		switch action := action.(type) {
 		case message.Note:
 			r.log.Write(now, action.Event, action.Fields...)
+		case message.Count:
+			count(action)
 		case message.Leave:
 			r.log.Write(now, event.RunnerStopped)
 			leaving = true
@@ -199,6 +201,24 @@
 	return leaving
 }
 
+// counters holds the maps that the core counts in. The core names few.
+var counters = struct {
+	sync.Mutex
+	maps map[string]*expvar.Map
+}{maps: map[string]*expvar.Map{}}
+
+// count adds one to a counter of the core.
+func count(action message.Count) {
+	counters.Lock()
+	counted, found := counters.maps[action.Name]
+	if !found {
+		counted = expvar.NewMap(action.Name)
+		counters.maps[action.Name] = counted
+	}
+	counters.Unlock()
+	counted.Add(action.Key, 1)
+}
+
 // hand offers an action to every edge: some concern more than one.
 func (r *Runner) hand(now time.Time, action message.Action) {
 	handled := false
--- /dev/null
+++ b/internal/standin/drill/drill.go
@@ -0,0 +1,152 @@
+// Package drill measures a deployment of real processes under faults.
+//
+// # What flows in and out
+//
+// The name of an experiment and its flags flow in. Package deploy starts the
+// processes, package load offers work, the experiment lets faults happen. A
+// table of figures flows out on standard output, each with the run that gave
+// it: an experiment prints its own parameters first.
+//
+// Each experiment stands in a file of its own (experiment_*.go); one table lists
+// them for the command line and its help.
+//
+// # Usage
+//
+//	drill failover --binaries .build --times 10
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+)
+
+// Experiment is one measurement.
+type Experiment interface {
+	// Run measures and writes the figures.
+	Run(ctx context.Context, out io.Writer, binaries string) error
+}
+
+// entry is one experiment of the table.
+type entry struct {
+	name, help string
+	experiment Experiment
+}
+
+// experiments lists all experiments.
+var experiments = []entry{
+	{"failover", "Gap in service, lost and doubled writes over many changes of primary.", &Failover{}},
+	{"replicas", "Share of reads served by replicas at several lags, with sessions that roam.", &Replicas{}},
+	{"manifest", "Time for a manifest to be in force on all instances.", &Manifest{}},
+	{"overhead", "Throughput and latency through one instance, against a database directly.", &Overhead{}},
+	{"idle", "Memory of idle callers' connections.", &Idle{}},
+}
+
+// Main runs the experiment that the command line names and returns the exit
+// code.
+func Main() int {
+	var line struct {
+		Binaries string `help:"Directory of the built binaries." default:".build"`
+	}
+	options := []kong.Option{kong.Name("drill"), kong.Description("Measures eelgrassfold on one machine, with stand-ins.")}
+	for _, e := range experiments {
+		options = append(options, kong.DynamicCommand(e.name, e.help, "", e.experiment))
+	}
+	parser, err := kong.New(&line, options...)
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "drill:", err)
+		return 1
+	}
+	chosen, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "drill:", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	for _, e := range experiments {
+		if e.name != chosen.Command() {
+			continue
+		}
+		if err := e.experiment.Run(ctx, os.Stdout, line.Binaries); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "drill:", err)
+			return 1
+		}
+	}
+	return 0
+}
+
+// -----------------------------------------------------------------------------
+// Common parts.
+
+// manifestHead is the manifest of the experiments up to its groups: slots and
+// connections as the Consortium has them.
+const manifestHead = `service = "handicap-db"
+[limits]
+slots = 3
+connections = 20
+reserve = 4
+open = "12ms"
+[[rank]]
+name = "urgent"
+target = "200ms"
+worth = 10
+floor = 0.2
+[[rank]]
+name = "ordinary"
+target = "500ms"
+worth = 3
+floor = 0.2
+[[rank]]
+name = "background"
+target = "5s"
+worth = 1
+floor = 0.1
+[[kind]]
+name = "post"
+rank = "urgent"
+access = "write"
+deadline = "8s"
+[[kind]]
+name = "check"
+rank = "ordinary"
+access = "read"
+deadline = "8s"
+[[kind]]
+name = "pull"
+rank = "background"
+access = "read"
+stale = "10s"
+deadline = "10s"
+`
+
+const group = model.GroupID("ratings")
+
+var zones = []model.ZoneID{"lanier", "savannah", "allatoona"}
+
+// startTime bounds the start of a deployment.
+const startTime = 20 * time.Second
+
+// start starts a deployment of one group.
+func start(ctx context.Context, binaries string, instances int, database ...string) (*deploy.Deployment, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	return deploy.Start(ctx, deploy.Options{
+		Binaries: binaries, Zones: zones, Groups: []model.GroupID{group}, Instances: instances,
+		Manifest: manifestHead, Database: database, Log: "warn",
+	})
+}
+
+// row writes one line of a table.
+func row(out io.Writer, format string, values ...any) {
+	_, _ = fmt.Fprintf(out, format+"\n", values...)
+}
--- /dev/null
+++ b/internal/standin/drill/experiment_failover.go
@@ -0,0 +1,157 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+)
+
+// Failover lets the primary fail under load, each time in a fresh deployment,
+// and measures the gap between acknowledged writes. Lost and doubled writes are
+// counted from the databases' final content.
+type Failover struct {
+	Times     int           `help:"Changes of primary for each fault." default:"10"`
+	Instances int           `help:"Number of instances." default:"3"`
+	Rate      float64       `help:"Writes a second; as many reads are offered." default:"200"`
+	Before    time.Duration `help:"Load before the fault." default:"1s"`
+	After     time.Duration `help:"Load after the fault." default:"4s"`
+	Faults    []string      `help:"Faults of the primary." default:"kill,freeze,isolate" enum:"kill,freeze,isolate"`
+}
+
+// Run implements Experiment.
+func (f *Failover) Run(ctx context.Context, out io.Writer, binaries string) error {
+	row(out, "failover: %d times each, %d instances, %.0f writes/s and %.0f reads/s, fault after %s, load ends %s later",
+		f.Times, f.Instances, f.Rate, f.Rate, f.Before, f.After)
+	row(out, "%-8s %5s %8s %8s %8s %6s %8s %7s %6s %8s %6s", "fault", "times", "median", "p99", "worst",
+		"acked", "unknown", "notrun", "lost", "doubled", "ghosts")
+	for _, fault := range f.Faults {
+		if err := f.runFault(ctx, out, binaries, fault); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runFault repeats one fault and writes its line.
+func (f *Failover) runFault(ctx context.Context, out io.Writer, binaries, fault string) error {
+	var gaps []time.Duration
+	var total load.Comparison
+	var unknown, notRun int64
+	for i := range f.Times {
+		report, err := f.runOnce(ctx, binaries, fault, uint64(i+1))
+		if err != nil {
+			return err
+		}
+		gaps = append(gaps, time.Duration(report.Gap*float64(time.Second)))
+		total.Acknowledged += report.Comparison.Acknowledged
+		total.Lost += report.Comparison.Lost
+		total.Doubled += report.Comparison.Doubled
+		total.Ghosts += report.Comparison.Ghosts
+		unknown += report.Kinds["post"].Unknown
+		notRun += report.Kinds["post"].NotRun
+	}
+	slices.Sort(gaps)
+	row(out, "%-8s %5d %8s %8s %8s %6d %8d %7d %6d %8d %6d", fault, len(gaps),
+		round(gaps[len(gaps)/2]), round(gaps[(len(gaps)-1)*99/100]), round(gaps[len(gaps)-1]),
+		total.Acknowledged, unknown, notRun, total.Lost, total.Doubled, total.Ghosts)
+	return nil
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// runOnce measures one change of primary.
+func (f *Failover) runOnce(ctx context.Context, binaries, fault string, seed uint64) (load.Report, error) {
+	d, err := start(ctx, binaries, f.Instances)
+	if err != nil {
+		return load.Report{}, err
+	}
+	defer func() { _ = d.Stop() }()
+	failed := make(chan error, 1)
+	timer := time.AfterFunc(f.Before, func() { failed <- strike(ctx, d, fault) })
+	defer timer.Stop()
+	report, err := load.Run(ctx, load.Options{
+		Addresses: callerAddresses(d), Group: group, User: "drill", Connections: 48,
+		Kinds: []load.Kind{
+			{Name: "post", Access: model.AccessWrite, Rate: f.Rate},
+			{Name: "check", Access: model.AccessRead, Rate: f.Rate},
+		},
+		Duration: f.Before + f.After, Patience: 15 * time.Second, Seed: seed, Admins: adminAddresses(d),
+	})
+	if err != nil {
+		return report, err
+	}
+	return report, <-failed
+}
+
+// callerAddresses returns where callers connect.
+func callerAddresses(d *deploy.Deployment) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, in := range d.Instances {
+		addresses = append(addresses, in.Callers)
+	}
+	return addresses
+}
+
+// adminAddresses returns the databases' admin addresses.
+func adminAddresses(d *deploy.Deployment) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, database := range d.Databases {
+		addresses = append(addresses, database.Admin)
+	}
+	return addresses
+}
+
+// strike lets the first database, which is the primary, fail.
+func strike(ctx context.Context, d *deploy.Deployment, fault string) error {
+	primary := d.Databases[0]
+	switch fault {
+	case "kill":
+		primary.Process.Kill()
+		return nil
+	case "freeze":
+		return primary.Process.Pause()
+	default:
+		return setFault(ctx, primary, database.FaultRequest{
+			Fault: "isolate", From: []string{string(d.Databases[1].Name), string(d.Databases[2].Name)},
+		})
+	}
+}
+
+// setFault lets a fault happen at a database.
+func setFault(ctx context.Context, d *deploy.Database, fault database.FaultRequest) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return send(ctx, http.MethodPost, fmt.Sprintf("http://%s/fault", d.Admin), body)
+}
+
+// send sends a request to a stand-in and wants the status 200 or 204.
+func send(ctx context.Context, method, url string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return &load.AnswerError{URL: url, Status: answer.StatusCode}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/drill/experiment_idle.go
@@ -0,0 +1,87 @@
+package drill
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+)
+
+// Idle measures the memory that idle callers' connections cost an instance:
+// each has run one read before.
+type Idle struct {
+	Steps []int `help:"Numbers of connections." default:"0,1000,2500,5000"`
+}
+
+// settleTime lets an instance's garbage collector run before memory is read.
+const settleTime = 8 * time.Second
+
+// Run implements Experiment.
+func (i *Idle) Run(ctx context.Context, out io.Writer, binaries string) error {
+	d, err := start(ctx, binaries, 1)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Stop() }()
+	row(out, "idle: resident memory of one instance, each connection after one read")
+	row(out, "%11s %12s %18s", "connections", "resident MB", "KB a connection")
+	var open []*pgx.Conn
+	defer func() {
+		for _, conn := range open {
+			_ = conn.Close(ctx)
+		}
+	}()
+	var base int64
+	for _, count := range i.Steps {
+		for len(open) < count {
+			conn, err := connectIdle(ctx, d)
+			if err != nil {
+				return err
+			}
+			open = append(open, conn)
+		}
+		if err := pause(ctx, settleTime); err != nil {
+			return err
+		}
+		_, resident, err := d.Instances[0].Process.Usage()
+		if err != nil {
+			return err
+		}
+		if base == 0 {
+			base = resident
+		}
+		const kilo, mega = 1 << 10, 1 << 20
+		each := float64(resident-base) / kilo / float64(max(1, count))
+		row(out, "%11d %12.1f %18.1f", count, float64(resident)/mega, each)
+	}
+	return nil
+}
+
+// connectIdle opens a connection and runs one read on it.
+func connectIdle(ctx context.Context, d *deploy.Deployment) (*pgx.Conn, error) {
+	url := "postgres://drill@" + d.Instances[0].Callers.String() + "/" + string(group)
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var value int
+	const statement = "SELECT 1 /*kind='check'*/"
+	if err := conn.QueryRow(ctx, statement, pgx.QueryExecModeSimpleProtocol).Scan(&value); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return conn, nil
+}
+
+// pause waits, or until the context ends.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/standin/drill/experiment_overhead.go
@@ -0,0 +1,82 @@
+package drill
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+)
+
+// Overhead compares reads sent to a stand-in database directly with reads
+// through one instance, in the same run.
+type Overhead struct {
+	Connections []int   `help:"Numbers of connections." default:"1,16,64"`
+	Seconds     float64 `help:"Length of each run, in seconds." default:"4"`
+	Work        string  `help:"Time that the database works on a statement." default:"0s"`
+}
+
+// Run implements Experiment.
+func (o *Overhead) Run(ctx context.Context, out io.Writer, binaries string) error {
+	row(out, "overhead: reads by key, database work %s, %.0f s each, closed loop, one instance", o.Work, o.Seconds)
+	row(out, "%11s %12s %12s %6s %12s %12s %10s", "connections", "direct /s", "through /s", "ratio", "direct p50", "through p50", "added us")
+	d, err := start(ctx, binaries, 1, "--work", o.Work, "--slots", "64", "--connections", "200", "--lag", "0s")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Stop() }()
+	if _, err := d.Submit(ctx, d.Instances[0], wideManifest+d.ManifestText()[len(manifestHead):], 1); err != nil {
+		return err
+	}
+	for _, connections := range o.Connections {
+		direct, err := o.measure(ctx, d.Databases[0].Address, connections, true)
+		if err != nil {
+			return err
+		}
+		through, err := o.measure(ctx, d.Instances[0].Callers, connections, false)
+		if err != nil {
+			return err
+		}
+		a, b := direct.Kinds["check"], through.Kinds["check"]
+		const micro = 1000
+		row(out, "%11d %12.0f %12.0f %6.2f %10.3fms %10.3fms %10.0f", connections, a.Rate, b.Rate, b.Rate/a.Rate,
+			a.Latency.P50, b.Latency.P50, micro*(b.Latency.P50-a.Latency.P50))
+	}
+	return nil
+}
+
+// measure reads in a closed loop.
+func (o *Overhead) measure(ctx context.Context, to netip.AddrPort, connections int, direct bool) (load.Report, error) {
+	return load.Run(ctx, load.Options{
+		Addresses: []netip.AddrPort{to}, Group: group, User: "drill", Connections: connections, Closed: true, Direct: direct,
+		Kinds:    []load.Kind{{Name: "check", Access: model.AccessRead, Rate: 1}},
+		Duration: time.Duration(o.Seconds * float64(time.Second)), Patience: 15 * time.Second, Seed: 1,
+	})
+}
+
+// wideManifest has more slots and connections, so that the proxy itself is the
+// bound.
+const wideManifest = `service = "handicap-db"
+[limits]
+slots = 64
+connections = 200
+reserve = 8
+open = "12ms"
+[[rank]]
+name = "ordinary"
+target = "2s"
+worth = 1
+floor = 1.0
+[[kind]]
+name = "check"
+rank = "ordinary"
+access = "read"
+deadline = "8s"
+[[kind]]
+name = "post"
+rank = "ordinary"
+access = "write"
+deadline = "8s"
+`
--- /dev/null
+++ b/internal/standin/drill/experiment_replicas.go
@@ -0,0 +1,72 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+)
+
+// Replicas measures which share of reads the replicas serve at several lags,
+// with sessions that roam between instances and hand their token over, and
+// counts reads that did not show their session's own writes.
+type Replicas struct {
+	Lags      []time.Duration `help:"Lags of the replicas." default:"5ms,200ms,5s"`
+	Instances int             `help:"Number of instances." default:"3"`
+	Reads     float64         `help:"Reads a second." default:"400"`
+	Writes    float64         `help:"Writes a second." default:"40"`
+	Seconds   float64         `help:"Length of each run, in seconds." default:"6"`
+}
+
+// Run implements Experiment.
+func (r *Replicas) Run(ctx context.Context, out io.Writer, binaries string) error {
+	row(out, "replicas: %d instances, %.0f reads/s and %.0f writes/s by roaming sessions, %.0f s each",
+		r.Instances, r.Reads, r.Writes, r.Seconds)
+	row(out, "%-6s %7s %9s %9s %9s %7s %11s", "lag", "reads", "replicas", "p50 ms", "p99 ms", "checks", "violations")
+	for _, lag := range r.Lags {
+		if err := r.runLag(ctx, out, binaries, lag); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replicas) runLag(ctx context.Context, out io.Writer, binaries string, lag time.Duration) error {
+	d, err := start(ctx, binaries, r.Instances, "--lag", lag.String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Stop() }()
+	report, err := load.Run(ctx, load.Options{
+		Addresses: callerAddresses(d), Group: group, User: "drill", Connections: 24, Roam: true, Checkers: 4,
+		Kinds: []load.Kind{
+			{Name: "check", Access: model.AccessRead, Rate: r.Reads},
+			{Name: "post", Access: model.AccessWrite, Rate: r.Writes},
+		},
+		Duration: time.Duration(r.Seconds * float64(time.Second)), Patience: 15 * time.Second, Seed: 1,
+	})
+	if err != nil {
+		return err
+	}
+	counts, err := sumCounters(ctx, d, "reads")
+	if err != nil {
+		return err
+	}
+	reads := counts["replica"] + counts["primary"]
+	row(out, "%-6s %7d %9s %9.2f %9.2f %7d %11d", lag, reads, fmt.Sprintf("%.1f%%", share(counts["replica"], reads)),
+		report.Kinds["check"].Latency.P50, report.Kinds["check"].Latency.P99,
+		report.Check.Checks, report.Check.Violations)
+	return nil
+}
+
+// share returns part of whole in percent.
+func share(part, whole int64) float64 {
+	const percent = 100
+	if whole == 0 {
+		return 0
+	}
+	return percent * float64(part) / float64(whole)
+}
