Send the databases' password on control connections too

Cause: serve gave the settings' password to the pool of data connections alone, so an instance before databases that ask for one never saw a primary. Before: with a password on the test's databases, TestRunServesAndDrains fails with SQLSTATE 57P03, "no primary of the group is proven". After: go test -race -count 3 ./internal/node/serve passes.

--- a/internal/node/serve/module.go
+++ b/internal/node/serve/module.go
@@ -134,8 +134,12 @@
 	return database.NewPool(database.PoolOptions{User: s.Database.User, Password: password}, logger), nil
 }
 
-func newGroupEdge(s *settings.Settings, sink message.Sink, logger logr.Logger) *group.Edge {
-	return group.NewEdge(group.Options{User: s.Database.User}, sink, logger)
+func newGroupEdge(s *settings.Settings, sink message.Sink, logger logr.Logger) (*group.Edge, error) {
+	password, err := s.Database.Password.Load()
+	if err != nil {
+		return nil, err
+	}
+	return group.NewEdge(group.Options{User: s.Database.User, Password: password}, sink, logger), nil
 }
 
 func newPlatformEdge(s *settings.Settings, sink message.Sink, logger logr.Logger) (*platform.Edge, error) {
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -27,6 +27,10 @@
 // testLimit bounds a test that hangs; no verdict depends on it.
 const testLimit = 60 * time.Second
 
+// testSecret is the operators' token, the key between instances, and the
+// password of the databases.
+const testSecret = "a secret of this test"
+
 // fixture is an instance before a stand-in platform and three databases.
 type fixture struct {
 	settings *settings.Settings
@@ -43,7 +47,7 @@
 	ended, err := shop.Start(ctx)
 	await(t, ended, err)
 	secret := filepath.Join(t.TempDir(), "secret")
-	if err := os.WriteFile(secret, []byte("a secret of this test"), 0o600); err != nil {
+	if err := os.WriteFile(secret, []byte(testSecret), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	text := fmt.Sprintf(`name = "a"
@@ -52,8 +56,9 @@
 platform = { url = "http://%s" }
 peer = { key = "file:%s" }
 operator = { token = "file:%s" }
+database = { password = "file:%s" }
 caller = { trust = true }
-`, loopback(t), loopback(t), loopback(t), shop.Address(), secret, secret)
+`, loopback(t), loopback(t), loopback(t), shop.Address(), secret, secret, secret)
 	read, err := settings.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -100,7 +105,7 @@
 		db := database.NewDatabase(database.Options{
 			Name: model.DatabaseID(name), Group: "ratings", Zone: "z",
 			Listen: loopback(t), Admin: loopback(t), Slots: 3, Connections: 20,
-			Primary: i == 0, Term: 1, Source: source,
+			Primary: i == 0, Term: 1, Source: source, Password: testSecret,
 		})
 		ended, err := db.Start(ctx)
 		await(t, ended, err)
@@ -121,7 +126,7 @@
 // serveManifest submits the manifest and waits until the instance is ready.
 func (f *fixture) serveManifest(ctx context.Context, t *testing.T) {
 	t.Helper()
-	client := operator.NewClient(f.settings.Listen.Operators, "a secret of this test")
+	client := operator.NewClient(f.settings.Listen.Operators, testSecret)
 	retry(ctx, t, func() error {
 		decision, err := client.Submit(ctx, []byte(f.manifest), 0, "test")
 		if err == nil && decision.Error != "ok" {
