Set startup parameters at the databases, and share connections by settings

Cause: a setting given as a startup parameter, as several drivers do, was passed over without a word; and two sessions with the same settings reset a connection each time it went from one to the other. Change: such a parameter counts as a SET of the session; what can't be set so (options, replication) is refused. A connection is known by the text of its settings, so that sessions with equal ones share it. Tests for both, for a caller that does not read, and for a commit that is proven after its connection was lost.

--- a/internal/edge/caller/gate_test.go
+++ b/internal/edge/caller/gate_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -198,3 +200,63 @@
 		t.Error(diff)
 	}
 }
+
+// TestCommitProvenAfterLoss loses the connection at a commit that the core then
+// proves to have happened.
+func TestCommitProvenAfterLoss(t *testing.T) {
+	token := model.Token{Group: testGroup, Position: position(7, 101)}
+	cases := []struct {
+		name string
+		say  []string
+		want []string
+	}{
+		{"transaction", []string{"BEGIN", "INSERT x", "COMMIT"}, []string{"eelgrassfold.token ratings/7:101", "COMMIT", "ready I"}},
+		{"statement", []string{"INSERT lost"}, []string{"eelgrassfold.token ratings/7:101", "ERROR 08007", "ready I"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			b.db.on("COMMIT", func(c *fakeConn) { c.committed(); c.cut() })
+			b.db.on("INSERT lost", (*fakeConn).cut)
+			b.core.hook = func(event message.Event) bool {
+				ended, ok := event.(message.AnswerEnded)
+				if ok {
+					b.edge.Act(message.Acknowledge{Request: ended.Request, Attempt: ended.Attempt, Token: token})
+				}
+				return ok
+			}
+			caller := startRaw(t, b)
+			var got []string
+			for _, text := range test.say {
+				got = caller.query(text)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestSlowCaller has a caller not take its answer: it loses its connection, and
+// the database's connection is not used again.
+func TestSlowCaller(t *testing.T) {
+	b := newBench(t, func(_ *bench, options *Options) { options.Write = 50 * time.Millisecond })
+	b.edge.Act(message.Proven{Group: testGroup, Position: position(7, 100)})
+	row := strings.Repeat("x", 1<<20)
+	b.db.on("select all", func(c *fakeConn) {
+		c.describe()
+		c.shown()
+		for !c.gone {
+			c.row(row)
+			if c.backend.Flush() != nil {
+				c.gone = true
+			}
+		}
+	})
+	caller := startRaw(t, b)
+	caller.send(&pgproto3.Query{String: "select all"})
+	ended := <-b.core.ended
+	if diff := cmp.Diff(message.Answer(message.AnswerLost{Committing: true, Passed: true}), ended.Answer); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/caller/session_test.go
+++ b/internal/edge/caller/session_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// TestSettingsShared checks that sessions with the same settings share a
+// connection without a reset.
+func TestSettingsShared(t *testing.T) {
+	b := newBench(t)
+	b.setDatabases(1)
+	first, second := connect(t, b, "&search_path=dinghies"), connect(t, b, "&search_path=dinghies")
+	for range 2 {
+		outcomeOf(t, b, first, "select a")
+		outcomeOf(t, b, second, "select b")
+	}
+	want := []string{"SET search_path = 'dinghies'", "select a", "select b", "select a", "select b"}
+	if diff := cmp.Diff(want, b.db.statements()); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(0, b.db.resets()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestHints checks what the core is told of a request.
 func TestHints(t *testing.T) {
 	cases := []struct {
@@ -297,3 +316,20 @@
 		}
 	})
 }
+
+// TestStatementsApart checks that no session reaches what another has prepared
+// on the connection that they share.
+func TestStatementsApart(t *testing.T) {
+	b := newBench(t)
+	b.setDatabases(1)
+	first, second := startRaw(t, b), startRaw(t, b)
+	parse := &pgproto3.Parse{Name: "s", Query: "select a"}
+	first.send(parse, &pgproto3.Parse{Query: "select b"}, &pgproto3.Sync{})
+	first.answer()
+	for _, name := range []string{"", "s", "e" + digest(parse)} {
+		second.send(&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		if diff := cmp.Diff([]string{"ERROR 26000", "ready I"}, second.answer()); diff != "" {
+			t.Errorf("%q: %s", name, diff)
+		}
+	}
+}
--- a/internal/edge/caller/settings.go
+++ b/internal/edge/caller/settings.go
@@ -17,8 +17,8 @@
 // set again on each backend connection that serves it.
 type settings struct {
 	list []setting
-	// version changes with each change.
-	version uint64
+	// joined is the text of all of them, which names their state.
+	joined string
 }
 
 type setting struct {
@@ -28,7 +28,7 @@
 }
 
 func (s *settings) put(one setting) {
-	s.version++
+	defer s.join()
 	for i := range s.list {
 		if s.list[i].name == one.name {
 			s.list[i] = one
@@ -39,7 +39,7 @@
 }
 
 func (s *settings) drop(name string) {
-	s.version++
+	defer s.join()
 	for i := range s.list {
 		if s.list[i].name == name {
 			s.list = append(s.list[:i], s.list[i+1:]...)
@@ -48,7 +48,15 @@
 	}
 }
 
-func (s *settings) clear() { *s = settings{version: s.version + 1} }
+func (s *settings) clear() { *s = settings{} }
+
+func (s *settings) join() {
+	texts := make([]string, len(s.list))
+	for i := range s.list {
+		texts[i] = s.list[i].text
+	}
+	s.joined = strings.Join(texts, ";")
+}
 
 func (s *settings) hasRoom(one setting) bool {
 	return len(s.list) < settingCount && len(one.text) <= settingBytes
@@ -62,10 +70,10 @@
 // connection is of no use. Nothing of the caller's work was sent by then.
 func (s *session) replay(conn *database.Conn) (*problem, error) {
 	state := &conn.State
-	if state.Owner == s.ownerNumber() && state.Version == s.settings.version && !state.Dirty {
+	if state.Settings == s.settings.joined && !state.Dirty {
 		return nil, nil
 	}
-	if state.Owner != 0 {
+	if state.Settings != "" {
 		state.Dirty = true
 	}
 	if len(s.settings.list) == 0 {
@@ -80,19 +88,10 @@
 	for _, one := range s.settings.list {
 		o.query(one.text)
 	}
-	state.Owner = s.ownerNumber()
-	state.Version = s.settings.version
+	state.Settings = s.settings.joined
 	return s.runPreludes(conn, o)
 }
 
-// ownerNumber is the session's number where it has settings, else zero.
-func (s *session) ownerNumber() uint64 {
-	if len(s.settings.list) == 0 {
-		return 0
-	}
-	return uint64(s.id)
-}
-
 // runPreludes sends the proxy's own queries and waits for their answers.
 func (s *session) runPreludes(conn *database.Conn, o *outgoing) (*problem, error) {
 	_, err := conn.Write(o.bytes, sendTimeout)
@@ -127,8 +126,7 @@
 	}
 	s.settings.put(setting{name: command.name, text: command.text})
 	if r.conn != nil {
-		r.conn.State.Owner = s.ownerNumber()
-		r.conn.State.Version = s.settings.version
+		r.conn.State.Settings = s.settings.joined
 	}
 }
 
--- a/internal/edge/caller/standin_test.go
+++ b/internal/edge/caller/standin_test.go
@@ -50,6 +50,7 @@
 	}
 	edge := NewEdge(Options{Listen: any, Key: "i1", Trust: true}, pool, core, logr.Discard())
 	core.edge = edge
+	edge.Act(message.Proven{Group: testGroup, Position: model.Position{Term: 7, Offset: 1 << 60}})
 	edgeGone, err := edge.Start(ctx)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/binary"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -209,9 +211,14 @@
 
 // takeParameters reads the proxy's own settings among the startup parameters.
 func (s *session) takeParameters(parameters map[string]string) *problem {
-	for name, value := range parameters {
+	for _, name := range slices.Sorted(maps.Keys(parameters)) {
+		value := parameters[name]
 		own, is := strings.CutPrefix(strings.ToLower(name), ownPrefix)
 		if !is {
+			refused := s.takeSetting(strings.ToLower(name), value)
+			if refused != nil {
+				return refused
+			}
 			continue
 		}
 		set, known := hintSetters[own]
--- a/internal/edge/caller/startup_test.go
+++ b/internal/edge/caller/startup_test.go
@@ -68,6 +68,9 @@
 		{"no TLS to give", Options{Trust: true}, "officer", "require", "broken"},
 		{"own parameter", Options{Trust: true}, "officer", "disable&eelgrassfold.kind=post", ""},
 		{"unknown own parameter", Options{Trust: true}, "officer", "disable&eelgrassfold.rank=1", "22023"},
+		{"setting", Options{Trust: true}, "officer", "disable&search_path=a'b", ""},
+		{"not a setting", Options{Trust: true}, "officer", "disable&search+path=a", "22023"},
+		{"options", Options{Trust: true}, "officer", "disable&options=-c+a%3Db", "0A000"},
 		{"token of another group", Options{Trust: true}, "officer", "disable&eelgrassfold.token=libro/7:1", "22023"},
 	}
 	for _, test := range cases {
--- a/internal/edge/database/conn.go
+++ b/internal/edge/database/conn.go
@@ -51,13 +51,11 @@
 	Unsure bool
 	// Prepared holds the names of the prepared statements.
 	Prepared map[string]struct{}
-	// Owner numbers the session whose settings or other state the
-	// connection carries; zero where it carries none.
-	Owner uint64
-	// Version numbers the state of the owner's settings.
-	Version uint64
-	// Dirty says that the connection has to be reset before it serves
-	// another session than Owner.
+	// Settings is the text of the callers' settings that are in force; empty
+	// where there are none. Sessions with the same settings share the
+	// connection.
+	Settings string
+	// Dirty says that the connection has to be reset before its next use.
 	Dirty bool
 }
 
