--- /dev/null
+++ b/internal/core/engine/engine_test.go
@@ -0,0 +1,127 @@
+package engine_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+func TestWriteThenReadElsewhere(t *testing.T) {
+	w := newWorld(t, 2)
+	write := w.call(w.node("i1"), "post", "entry-1", model.Token{})
+	w.run(time.Second)
+	if write.result != resultDone {
+		t.Fatalf("write = %s %s\n%s", write.result, write.why, w.notes)
+	}
+	read := w.call(w.node("i2"), "check", "", model.Token{})
+	w.run(time.Second)
+	if read.result != resultDone || len(read.saw) != 1 {
+		t.Fatalf("read = %s %s, saw %v", read.result, read.why, read.saw)
+	}
+	t.Logf("write took %s, read took %s at %s", write.ended.Sub(write.began), read.ended.Sub(read.began), read.why)
+}
+
+// TestFailoverGap writes steadily through two instances while the primary
+// fails, and checks what the callers were told against the surviving log.
+func TestFailoverGap(t *testing.T) {
+	cases := map[string]func(w *world){
+		"killed": func(w *world) { w.primary().dead = true },
+		"frozen": func(w *world) { w.primary().frozen = true },
+		"isolated from everything": func(w *world) {
+			w.split([]string{"d1"}, []string{"d2", "d3", "i1", "i2", "i3", "platform"})
+		},
+		"isolated from the replicas": func(w *world) { w.split([]string{"d1"}, []string{"d2", "d3"}) },
+		"isolated with one instance": func(w *world) {
+			w.split([]string{"d1", "i1"}, []string{"d2", "d3", "i2", "i3", "platform"})
+		},
+		"leaving": func(w *world) { w.primary().leaving = true },
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.writeSteadily(500 * time.Millisecond)
+			fail(w)
+			w.writeSteadily(6 * time.Second)
+			w.heal()
+			for _, d := range w.databases {
+				d.thaw()
+			}
+			w.run(12 * time.Second)
+			w.check()
+			t.Logf("gap %s", w.gap())
+		})
+	}
+}
+
+const otherGroup = `
+[[group]]
+name = "standings"
+[[group.database]]
+name = "e1"
+zone = "z1"
+address = "127.0.0.1:7101"
+[[group.database]]
+name = "e2"
+zone = "z2"
+address = "127.0.0.1:7102"
+[[group.database]]
+name = "e3"
+zone = "z3"
+address = "127.0.0.1:7103"
+`
+
+// TestGroupRemovedWithOpenWrite removes the group while a write is in flight:
+// the write still gets its outcome.
+func TestGroupRemovedWithOpenWrite(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.node("i1")
+	cut := strings.Index(testManifest, "[[group]]")
+	n.post(message.ManifestSubmitted{Ask: 1, Body: []byte(testManifest + otherGroup), Expected: 1})
+	w.run(time.Second)
+	write := w.call(n, "post", "entry-1", model.Token{})
+	n.post(message.ManifestSubmitted{Ask: 2, Body: []byte(testManifest[:cut] + otherGroup), Expected: 2})
+	w.run(5 * time.Millisecond)
+	refused := w.call(n, "post", "entry-2", model.Token{})
+	w.run(10 * time.Second)
+	if n.number != 3 {
+		t.Fatalf("manifest in force = %d, want 3", n.number)
+	}
+	if write.result != resultDone {
+		t.Errorf("write in flight = %s %s, want done", write.result, write.why)
+	}
+	if refused.result == resultNone {
+		t.Errorf("later write got no answer")
+	}
+}
+
+// TestRestartInOutage starts an instance while the platform is down: it serves
+// under the manifest that its peers have, and a lower one never replaces it.
+func TestRestartInOutage(t *testing.T) {
+	w := newWorld(t, 2)
+	first := w.node("i1")
+	first.post(message.ManifestSubmitted{Ask: 1, Body: []byte(testManifest + "# second\n"), Expected: 1})
+	w.run(time.Second)
+	w.platform.down = true
+	w.node("i2").dead = true
+	again := w.start("i2")
+	w.run(2 * time.Second)
+	if again.number != 2 || !again.ready {
+		t.Fatalf("restarted instance: manifest %d, ready %v, want manifest 2, ready", again.number, again.ready)
+	}
+	read := w.call(again, "check", "", model.Token{})
+	w.run(time.Second)
+	if read.result != resultDone {
+		t.Errorf("read at the restarted instance = %s %s", read.result, read.why)
+	}
+	again.post(message.PeerHeard{From: "i9", Body: message.ManifestOffer{
+		Number: 1, Digest: manifest.Digest([]byte(testManifest)), Body: []byte(testManifest),
+	}})
+	w.run(time.Second)
+	if again.number != 2 {
+		t.Errorf("manifest in force = %d after a lower one was offered, want 2", again.number)
+	}
+}
