Take Drop, tell whose key it is, and run a commit again that did not survive

Cause: the core has grown an action that gives up an attempt of a replaced primary, and a field that tells a caller's own key. Reading its settlement showed a hang: after a commit that is proven not to have survived, the core dispatches the work again, and the edge, which held the first answer, waited for an Acknowledge only. Change: Drop ends a running, held or idle attempt by AnswerLost; a held answer that is dropped has committed nothing and says so. A Dispatch after a held commit runs the work again. OwnKey is set. Conclusion: go test -race ./internal/edge/... passes.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -19,6 +19,10 @@
 func (s *session) attempt(ctx context.Context, r *request, b *batch, d message.Dispatch) (bool, error) {
 	r.attempt = d.Attempt
 	r.dispatch = d
+	if r.passed {
+		s.ended(r, message.AnswerFailed{State: problemBroken.state})
+		return true, s.endWith(r, problemBroken, statusIdle)
+	}
 	r.sent = time.Time{}
 	r.opened = 0
 	r.position = model.Position{}
@@ -138,7 +142,7 @@
 		s.endRequest(r)
 		return true, end.cause
 	case resultWhole:
-		return true, s.concludeWhole(ctx, r, b, end)
+		return s.concludeWhole(ctx, r, b, end)
 	}
 	return false, nil
 }
@@ -153,7 +157,7 @@
 }
 
 // concludeWhole passes on what is left of a whole answer, once it may be.
-func (s *session) concludeWhole(ctx context.Context, r *request, b *batch, end resultWhole) error {
+func (s *session) concludeWhole(ctx context.Context, r *request, b *batch, end resultWhole) (bool, error) {
 	if end.failure == nil {
 		s.keepSetting(r, b)
 	}
@@ -164,19 +168,30 @@
 	case !end.commit.IsZero():
 		return s.concludeCommit(ctx, r, end.commit)
 	case end.unproven:
-		p, err := s.awaitRelease(ctx, r)
-		if err != nil {
-			s.dropConn(r)
-			s.endRequest(r)
-			return err
-		}
-		if p != nil {
-			s.dropConn(r)
-			s.ended(r, message.AnswerFailed{State: p.state})
-			return s.endLost(r, b, p)
+		refused := s.awaitRelease(ctx, r)
+		if refused != nil {
+			return s.concludeHeld(r, b, refused)
 		}
 	}
-	return s.passOn(r, end)
+	return true, s.passOn(r, end)
+}
+
+// concludeHeld drops a whole answer that may not be passed on. Nothing was
+// committed by it.
+func (s *session) concludeHeld(r *request, b *batch, end result) (bool, error) {
+	s.dropConn(r)
+	switch end := end.(type) {
+	case resultLost:
+		s.ended(r, message.AnswerLost{Passed: r.passed})
+		return false, nil
+	case resultStopped:
+		s.ended(r, message.AnswerFailed{State: end.problem.state})
+		return true, s.endLost(r, b, end.problem)
+	case resultUnread:
+		s.endRequest(r)
+		return true, end.cause
+	}
+	return false, nil
 }
 
 // passOn sends the rest of an answer that nothing holds back any more.
@@ -200,22 +215,24 @@
 }
 
 // awaitRelease waits until the core has proven the position of an answer. It
-// returns the error for the caller where that fails.
-func (s *session) awaitRelease(ctx context.Context, r *request) (*problem, error) {
+// returns nil then, or how the answer ends instead.
+func (s *session) awaitRelease(ctx context.Context, r *request) result {
 	s.hold(r)
 	for {
 		item, err := s.await(ctx, r)
 		if err != nil {
-			return nil, err
+			return resultUnread{cause: err}
 		}
 		switch item := item.(type) {
 		case message.Release:
 			r.released = r.position
-			return nil, nil
+			return nil
+		case message.Drop:
+			return resultLost{}
 		case message.Abandon:
-			return abandonProblem(item), nil
+			return resultStopped{problem: abandonProblem(item)}
 		case message.Refuse:
-			return refusalProblem(item), nil
+			return resultStopped{problem: refusalProblem(item)}
 		}
 	}
 }
@@ -226,8 +243,9 @@
 	s.edge.sink.Post(message.AnswerHeld{Request: r.id, Attempt: r.attempt, Position: r.position})
 }
 
-// concludeCommit holds the answer of a commit until the core acknowledges it.
-func (s *session) concludeCommit(ctx context.Context, r *request, position model.Position) error {
+// concludeCommit holds the answer of a commit until the core acknowledges it, or
+// has it run again after proof that it never will be committed.
+func (s *session) concludeCommit(ctx context.Context, r *request, position model.Position) (bool, error) {
 	chained := r.status != statusIdle
 	s.dropConn(r)
 	s.ended(r, message.AnswerCommitted{Position: position})
@@ -235,16 +253,19 @@
 		item, err := s.await(ctx, r)
 		if err != nil {
 			s.endRequest(r)
-			return err
+			return true, err
 		}
 		switch item := item.(type) {
 		case message.Acknowledge:
 			s.giveToken(item.Token)
-			return s.concludeAcknowledged(r, chained)
+			return true, s.concludeAcknowledged(r, chained)
+		case message.Dispatch:
+			s.mailbox.putBack(item)
+			return false, nil
 		case message.Abandon:
-			return s.endWith(r, abandonProblem(item), statusIdle)
+			return true, s.endWith(r, abandonProblem(item), statusIdle)
 		case message.Refuse:
-			return s.endWith(r, refusalProblem(item), statusIdle)
+			return true, s.endWith(r, refusalProblem(item), statusIdle)
 		}
 	}
 }
--- a/internal/edge/caller/batch.go
+++ b/internal/edge/caller/batch.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/postgres"
 )
 
@@ -212,7 +213,7 @@
 	b.refuse(problemFlush)
 	b.early = true
 	if s.request != nil {
-		s.breakTransaction(problemFlush.state)
+		s.breakTransaction(message.AnswerFailed{State: problemFlush.state})
 	}
 	s.say(b.problem)
 	return s.flush()
--- a/internal/edge/caller/edge.go
+++ b/internal/edge/caller/edge.go
@@ -151,6 +151,8 @@
 		e.tell(typed.Request, action)
 	case message.Interrupt:
 		e.tell(typed.Request, action)
+	case message.Drop:
+		e.tell(typed.Request, action)
 	case message.Proven:
 		e.provenOf(typed.Group).set(typed.Position)
 	case message.Drain:
--- a/internal/edge/caller/gate.go
+++ b/internal/edge/caller/gate.go
@@ -83,12 +83,9 @@
 		return nil
 	}
 	y.s.mailbox.done()
-	p, err := y.s.awaitRelease(ctx, y.r)
-	if err != nil {
-		return resultUnread{cause: err}
-	}
-	if p != nil {
-		return resultStopped{problem: p}
+	end := y.s.awaitRelease(ctx, y.r)
+	if end != nil {
+		return end
 	}
 	y.streaming = true
 	y.rearm()
--- a/internal/edge/caller/handle.go
+++ b/internal/edge/caller/handle.go
@@ -90,7 +90,7 @@
 // database.
 func (s *session) handleProblem(b *batch) error {
 	if s.request != nil {
-		s.breakTransaction(b.problem.state)
+		s.breakTransaction(message.AnswerFailed{State: b.problem.state})
 	}
 	return s.answerProblem(b.problem, s.status())
 }
--- a/internal/edge/caller/mailbox.go
+++ b/internal/edge/caller/mailbox.go
@@ -53,6 +53,13 @@
 	return item, true
 }
 
+// putBack puts an item back that was taken last.
+func (m *mailbox) putBack(item any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.items = append([]any{item}, m.items...)
+}
+
 // read bounds the reads of conn until done: they end at the deadline, or as
 // soon as there is an item.
 func (m *mailbox) read(conn deadliner, deadline time.Time) {
--- a/internal/edge/caller/patience.go
+++ b/internal/edge/caller/patience.go
@@ -165,6 +165,10 @@
 			if item.Request == y.r.id && item.Attempt == y.r.attempt {
 				y.interrupt(ctx, now)
 			}
+		case message.Drop:
+			if item.Request == y.r.id && item.Attempt == y.r.attempt {
+				return resultLost{}
+			}
 		case message.Abandon:
 			if item.Request == y.r.id {
 				return resultStopped{problem: abandonProblem(item)}
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -64,6 +64,7 @@
 		Session:     s.id,
 		Kind:        h.kind,
 		Key:         key,
+		OwnKey:      r.ownKey,
 		Transaction: b.runs() && b.traits.opensTransaction(),
 		Position:    h.token.Position,
 		Deadline:    h.deadline,
@@ -189,6 +190,8 @@
 		concerns = item.Request == r.id
 	case message.Release:
 		concerns = item.Request == r.id && item.Attempt == r.attempt
+	case message.Drop:
+		concerns = item.Request == r.id && item.Attempt == r.attempt
 	case message.Acknowledge:
 		concerns = item.Request == r.id && item.Attempt == r.attempt
 	case callerGone:
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -202,16 +202,24 @@
 		if !ok {
 			break
 		}
-		if abandon, is := item.(message.Abandon); is && s.owns(abandon.Request) {
-			s.why = abandonProblem(abandon)
-			s.breakTransaction(s.why.state)
+		switch item := item.(type) {
+		case message.Abandon:
+			if s.owns(item.Request) {
+				s.why = abandonProblem(item)
+				s.breakTransaction(message.AnswerFailed{State: s.why.state})
+			}
+		case message.Drop:
+			if s.owns(item.Request) && s.request.attempt == item.Attempt {
+				s.why = problemFenced
+				s.breakTransaction(message.AnswerLost{Passed: true})
+			}
 		}
 	}
 	r := s.request
 	if r != nil && !time.Now().Before(r.dispatch.Expires) {
 		s.edge.note(event.TransactionExpired, "session", s.id, "request", r.id)
 		s.why = problemIdle
-		s.breakTransaction(s.why.state)
+		s.breakTransaction(message.AnswerFailed{State: s.why.state})
 	}
 	return nil
 }
@@ -220,10 +228,10 @@
 
 // breakTransaction rolls back an open transaction whose caller is idle. The
 // caller learns it with its next statement.
-func (s *session) breakTransaction(state string) {
+func (s *session) breakTransaction(answer message.Answer) {
 	r := s.request
 	s.dropConn(r)
-	s.ended(r, message.AnswerFailed{State: state})
+	s.ended(r, answer)
 	s.endRequest(r)
 	s.failed = true
 }
