--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -30,43 +30,6 @@
 	tokenParameter = "eelgrassfold.token"
 )
 
-// result is how an exchange ended.
-type result interface{ isResult() }
-
-// resultWhole: the answer was read to its end; what is left of it waits in the
-// workspace, without the ReadyForQuery.
-type resultWhole struct {
-	// commit is the position of a commit, or zero.
-	commit model.Position
-	// failure is the last error in the answer, or nil.
-	failure *pgproto3.ErrorResponse
-	// unproven says that the answer has to wait for the proof of its position.
-	unproven bool
-}
-
-// resultLost: the connection broke, or was given up.
-type resultLost struct{ silent bool }
-
-// resultRefused: the database proved that it did not run the work.
-type resultRefused struct{ why message.RefusedWhy }
-
-// resultBehind: the database's state is older than was asked for.
-type resultBehind struct{}
-
-// resultStopped: the core or the edge ended the exchange with an error for the
-// caller.
-type resultStopped struct{ problem *problem }
-
-// resultUnread: the caller does not take its answer.
-type resultUnread struct{ cause error }
-
-func (resultWhole) isResult()   {}
-func (resultLost) isResult()    {}
-func (resultRefused) isResult() {}
-func (resultBehind) isResult()  {}
-func (resultStopped) isResult() {}
-func (resultUnread) isResult()  {}
-
 // relay passes one answer from a backend connection to the caller.
 type relay struct {
 	s *session
@@ -285,80 +248,6 @@
 	return nil
 }
 
-// takeError acts on an error of the database.
-func (y *relay) takeError(frame postgres.Frame) {
-	var response pgproto3.ErrorResponse
-	if response.Decode(frame.Body()) != nil {
-		return
-	}
-	y.failure = &response
-	y.r.conn.State.Unsure = y.r.conn.State.Unsure || y.wasSetUp
-	// After an error the database skips the rest of an extended batch.
-	y.o.parses = nil
-	y.o.closes = nil
-	if y.copying {
-		y.s.say(problemCopy)
-		y.r.state = problemCopy.state
-		return
-	}
-	why, ours := y.refusedWhy(response.Code)
-	if !ours {
-		if !y.r.failed {
-			y.r.state = response.Code
-		}
-		y.pass(frame)
-		return
-	}
-	if y.r.first && !y.r.passed {
-		y.refusal = &resultRefused{why: why}
-	}
-	p := y.rewritten(response)
-	y.r.state = p.state
-	y.s.say(p)
-}
-
-// refusedWhy tells whether an error is a word between database and proxy.
-func (y *relay) refusedWhy(state string) (message.RefusedWhy, bool) {
-	switch state {
-	case stateTerm:
-		return message.RefusedTerm, true
-	case stateDuplicate:
-		return message.RefusedDuplicate, true
-	case stateReadOnly:
-		return message.RefusedReadOnly, y.r.dispatch.Access == model.AccessWrite
-	}
-	return 0, false
-}
-
-// rewritten returns what the caller gets for such an error where the work can't
-// be run elsewhere any more.
-func (y *relay) rewritten(response pgproto3.ErrorResponse) *problem {
-	if response.Code == stateDuplicate && y.r.ownKey {
-		p := refusals[message.RefuseDuplicate]
-		return p.with(response.Message)
-	}
-	return problemFenced.with(response.Message)
-}
-
-// takeCopy turns a COPY down without losing the protocol's step.
-func (y *relay) takeCopy(frame postgres.Frame) result {
-	y.copying = true
-	y.r.conn.Taint()
-	if frame.Type != 'G' {
-		return resultStopped{problem: problemCopy}
-	}
-	refusal, _ := (&pgproto3.CopyFail{Message: "COPY is not supported"}).Encode(nil)
-	if y.b.extended {
-		// The Sync of the batch was swallowed by the copy mode.
-		refusal, _ = (&pgproto3.Sync{}).Encode(refusal)
-	}
-	_, err := y.r.conn.Write(refusal, sendTimeout)
-	if err != nil {
-		return resultLost{}
-	}
-	return nil
-}
-
 // finish judges the whole answer.
 func (y *relay) finish(frame postgres.Frame) result {
 	body := frame.Body()
