Refuse rows whose position the database has not told

Cause: found by reading: an answer without group_position passed both checks, since neither had anything to compare. Change: a row ahead of any position ends the attempt as lost, and its connection is closed. Conclusion: the new row of TestStatementFaults passes; the others are as before.

--- a/internal/edge/caller/fault_test.go
+++ b/internal/edge/caller/fault_test.go
@@ -101,6 +101,10 @@
 			"shutdown while running", func(c *fakeConn) { c.fail("57P01", "terminating"); c.cut() },
 			outcome{"", "08007", lost},
 		},
+		{
+			"row without position", func(c *fakeConn) { c.describe(); c.row("a"); c.complete("SELECT 1") },
+			outcome{"", "08007", lost},
+		},
 		{
 			"malformed position", func(c *fakeConn) { c.parameter("group_position", "x"); c.complete("SELECT 1") },
 			outcome{"", "08007", lost},
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -146,6 +146,12 @@
 		y.pass(frame)
 	case 'G', 'H', 'W':
 		return y.takeCopy(frame)
+	case 'D':
+		if !y.known {
+			// Rows of a state that nobody knows can't be checked.
+			return resultLost{}
+		}
+		y.pass(frame)
 	case 'd', 'c', 'A':
 		return nil
 	default:
