--- a/internal/edge/caller/patience.go
+++ b/internal/edge/caller/patience.go
@@ -165,6 +165,10 @@
 			if item.Request == y.r.id && item.Attempt == y.r.attempt {
 				y.interrupt(ctx, now)
 			}
+		case message.Drop:
+			if item.Request == y.r.id && item.Attempt == y.r.attempt {
+				return resultLost{}
+			}
 		case message.Abandon:
 			if item.Request == y.r.id {
 				return resultStopped{problem: abandonProblem(item)}
@@ -212,11 +216,11 @@
 	y.times.checking = true
 	silenceChecks.Add(1)
 	s, r := y.s, y.r
-	database, attempt := r.dispatch.Database, r.attempt
+	database, attempt, since := r.dispatch.Database, r.attempt, y.times.heard
 	ended := s.edge.background()
 	go func() {
 		defer ended()
-		busy, err := s.edge.pool.Check(ctx, database, checkTimeout)
+		busy, err := s.edge.pool.Check(ctx, database, since, checkTimeout)
 		s.mailbox.post(checked{request: r, attempt: uint32(attempt), busy: busy, err: err})
 	}()
 }
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -34,6 +34,8 @@
 	caller model.CallerID
 	proven *provenCell
 
+	// writeUntil is the deadline of writes to the caller.
+	writeUntil time.Time
 	// secret is what a cancel request has to know.
 	secret []byte
 	// current is the request that a cancel request is for, or zero.
@@ -202,16 +204,24 @@
 		if !ok {
 			break
 		}
-		if abandon, is := item.(message.Abandon); is && s.owns(abandon.Request) {
-			s.why = abandonProblem(abandon)
-			s.breakTransaction(s.why.state)
+		switch item := item.(type) {
+		case message.Abandon:
+			if s.owns(item.Request) {
+				s.why = abandonProblem(item)
+				s.breakTransaction(message.AnswerFailed{State: s.why.state})
+			}
+		case message.Drop:
+			if s.owns(item.Request) && s.request.attempt == item.Attempt {
+				s.why = problemFenced
+				s.breakTransaction(message.AnswerLost{Passed: true})
+			}
 		}
 	}
 	r := s.request
 	if r != nil && !time.Now().Before(r.dispatch.Expires) {
 		s.edge.note(event.TransactionExpired, "session", s.id, "request", r.id)
 		s.why = problemIdle
-		s.breakTransaction(s.why.state)
+		s.breakTransaction(message.AnswerFailed{State: s.why.state})
 	}
 	return nil
 }
@@ -220,10 +230,10 @@
 
 // breakTransaction rolls back an open transaction whose caller is idle. The
 // caller learns it with its next statement.
-func (s *session) breakTransaction(state string) {
+func (s *session) breakTransaction(answer message.Answer) {
 	r := s.request
 	s.dropConn(r)
-	s.ended(r, message.AnswerFailed{State: state})
+	s.ended(r, answer)
 	s.endRequest(r)
 	s.failed = true
 }
@@ -264,12 +274,24 @@
 	if len(s.work.out) == 0 {
 		return nil
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(s.edge.options.Write))
+	s.moveWriteDeadline()
 	_, err := s.conn.Write(s.work.out)
 	s.resetOut()
 	return err
 }
 
+// moveWriteDeadline gives the caller once to twice the time that it has to take
+// what is sent. Moving the deadline now and then only is cheaper.
+func (s *session) moveWriteDeadline() {
+	limit := s.edge.options.Write
+	now := time.Now()
+	if s.writeUntil.Sub(now) >= limit {
+		return
+	}
+	s.writeUntil = now.Add(2 * limit)
+	_ = s.conn.SetWriteDeadline(s.writeUntil)
+}
+
 // say appends an error.
 func (s *session) say(p *problem) { s.work.out = p.encode(s.work.out) }
 
