--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -172,7 +172,7 @@
 
 // applyEntries makes received entries visible when their lag is over.
 func (d *Database) applyEntries(ctx context.Context) error {
-	for d.faults.awaitThaw(ctx.Done()) {
+	for ctx.Err() == nil && d.faults.awaitThaw(ctx.Done()) {
 		wait, changed := d.node.applyDue(time.Now())
 		if wait < 0 {
 			select {
--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -23,7 +23,11 @@
 	return ctx
 }
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	// loopbackClosed is an address on which nobody listens.
+	loopbackClosed = netip.MustParseAddrPort("127.0.0.1:1")
+)
 
 // start runs a database until the end of the test.
 func start(t *testing.T, options database.Options) *database.Database {
--- a/internal/standin/database/node_control.go
+++ b/internal/standin/database/node_control.go
@@ -30,7 +30,7 @@
 	if err := n.checkJoined(); err != nil {
 		return err
 	}
-	if term != n.term || nonce != n.nonce {
+	if term != n.term || nonce != n.nonce || nonce == "" {
 		return n.conflict(term)
 	}
 	if n.role == model.RolePrimary {
--- a/internal/standin/database/replication_test.go
+++ b/internal/standin/database/replication_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	rows, err := conn.Query(testContext(t), sql)
 	if err != nil {
-		t.Fatal(err)
+		return nil, sqlState(t, err)
 	}
 	row, err := pgx.CollectExactlyOneRow(rows, pgx.RowToMap)
 	return row, sqlState(t, err)
