standin: end the measured gap and the rates with the offer of load

Cause: a trial of 12 s through two instances, with the primary frozen, reported a gap of 7,097 ms although writes had gone on: one client waited 15 s for an answer, and the time after the offer's end counted as a gap. Ruled out: ending the run at the offer's end, which would lose the outcomes of statements in flight. Change: gap and rates count up to the offer's end; a table test fixes what the gap counts. Conclusion: go test -race ./internal/standin/load passes.

--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -69,17 +69,18 @@
 func Run(ctx context.Context, options Options) (Report, error) {
 	r := &run{options: options, prefix: uuid.NewString()}
 	started := time.Now()
-	r.writes.last = started
+	r.writes = gapMeter{last: started, until: started.Add(options.Duration)}
 	stop, cancel := context.WithTimeout(ctx, options.Duration)
 	defer cancel()
 	ends := make(chan struct{})
 	running := r.start(ctx, stop, ends)
+	<-stop.Done()
+	r.stopped = time.Now()
 	for range running {
 		<-ends
 	}
-	ended := time.Now()
-	r.writes.succeeded(ended)
-	report := r.report(ended.Sub(started))
+	r.writes.succeeded(r.stopped)
+	report := r.report(r.stopped.Sub(started))
 	if len(options.Admins) == 0 {
 		return report, nil
 	}
@@ -96,6 +97,8 @@
 	clients  []*client
 	checkers []*checker
 	writes   gapMeter
+	// stopped is when no more work was offered.
+	stopped time.Time
 }
 
 // start starts every goroutine of the run, and returns how many will send
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -201,10 +201,36 @@
 // -----------------------------------------------------------------------------
 // The report.
 
+func TestGapCountsFromTheStartToTheEnd(t *testing.T) {
+	start := time.Unix(100, 0)
+	cases := []struct {
+		name      string
+		successes []time.Duration
+		want      time.Duration
+	}{
+		{"none", nil, 10 * time.Second},
+		{"from the start", []time.Duration{6 * time.Second, 9 * time.Second}, 6 * time.Second},
+		{"between", []time.Duration{1 * time.Second, 8 * time.Second}, 7 * time.Second},
+		{"to the end", []time.Duration{2 * time.Second}, 8 * time.Second},
+		{"after the end", []time.Duration{5 * time.Second, 25 * time.Second}, 5 * time.Second},
+		{"out of order", []time.Duration{5 * time.Second, 4 * time.Second, 9 * time.Second}, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gapMeter{last: start, until: start.Add(10 * time.Second)}
+			for _, at := range c.successes {
+				g.succeeded(start.Add(at))
+			}
+			g.succeeded(g.until)
+			equal(t, c.want, g.longest)
+		})
+	}
+}
+
 func TestReportGolden(t *testing.T) {
 	r := newRun()
 	start := time.Unix(100, 0)
-	r.writes.last = start
+	r.writes = gapMeter{last: start, until: start.Add(10 * time.Second)}
 	c := newClient(r, post, 0)
 	for i := range 4 {
 		c.tally.Offered++
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -73,13 +73,18 @@
 	mu      sync.Mutex
 	last    time.Time
 	longest time.Duration
+	// until is the end of what is measured.
+	until time.Time
 }
 
 func (g *gapMeter) succeeded(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.longest = max(g.longest, at.Sub(g.last))
+	if at.After(g.until) {
+		at = g.until
+	}
 	if at.After(g.last) {
+		g.longest = max(g.longest, at.Sub(g.last))
 		g.last = at
 	}
 }
@@ -89,12 +94,13 @@
 
 // Report is what a run measured. Its JSON form is one line.
 type Report struct {
-	// Seconds is the time from the start to the last answer.
+	// Seconds is the time for which work was offered.
 	Seconds float64 `json:"seconds"`
 	// Rate is the number of statements done a second.
 	Rate float64 `json:"rate"`
 	// Gap is the longest time between successful writes, in milliseconds,
-	// counting from the start and to the end; zero where nothing was written.
+	// counting from the start and to the end of the offer; zero where nothing
+	// was written. Answers that come after the offer's end do not lengthen it.
 	Gap   float64               `json:"gap"`
 	Kinds map[string]KindReport `json:"kinds"`
 	// Check is there where read-your-writes was checked.
