--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	return deploy.Start(ctx, deploy.Options{
 		Binaries: binaries, Zones: zones, Groups: []model.GroupID{group}, Instances: instances,
-		Manifest: manifestHead, Database: database, Log: "warn",
+		Manifest: manifestHead, Database: database, Log: "info",
 	})
 }
 
--- a/internal/standin/drill/experiment_failover.go
+++ b/internal/standin/drill/experiment_failover.go
@@ -8,7 +8,10 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +31,7 @@
 	Rate      float64       `help:"Writes a second; as many reads are offered." default:"200"`
 	Before    time.Duration `help:"Load before the fault." default:"1s"`
 	After     time.Duration `help:"Load after the fault." default:"4s"`
+	Logs      string        `help:"Directory for the logs of runs with unknown outcomes."`
 	Faults    []string      `help:"Faults of the primary." default:"kill,freeze,isolate" enum:"kill,freeze,isolate"`
 }
 
@@ -55,7 +59,7 @@
 		if err != nil {
 			return err
 		}
-		gaps = append(gaps, time.Duration(report.Gap*float64(time.Second)))
+		gaps = append(gaps, time.Duration(report.Gap*float64(time.Millisecond)))
 		total.Acknowledged += report.Comparison.Acknowledged
 		total.Lost += report.Comparison.Lost
 		total.Doubled += report.Comparison.Doubled
@@ -93,9 +97,23 @@
 	if err != nil {
 		return report, err
 	}
+	f.keepLogs(d, report)
 	return report, <-failed
 }
 
+// keepLogs writes the instances' log lines of a run with an outcome that needs
+// an explanation.
+func (f *Failover) keepLogs(d *deploy.Deployment, report load.Report) {
+	post := report.Kinds["post"]
+	if f.Logs == "" || post.Unknown+post.Failed == 0 {
+		return
+	}
+	for _, in := range d.Instances {
+		name := filepath.Join(f.Logs, in.Name+".log")
+		_ = os.WriteFile(name, []byte(strings.Join(in.Process.Lines(), "\n")), 0o600)
+	}
+}
+
 // callerAddresses returns where callers connect.
 func callerAddresses(d *deploy.Deployment) []netip.AddrPort {
 	var addresses []netip.AddrPort
--- a/internal/standin/load/compare.go
+++ b/internal/standin/load/compare.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -45,6 +46,10 @@
 // Error implements error.
 func (e *AnswerError) Error() string { return fmt.Sprintf("%s answered %d", e.URL, e.Status) }
 
+// adminTimeout bounds a question to a database's admin address: one that is
+// frozen never answers.
+const adminTimeout = 2 * time.Second
+
 // compare reads the ledger of the primary and compares it.
 func (r *run) compare(ctx context.Context) (*Comparison, error) {
 	primary, err := findPrimary(ctx, r.options.Admins)
@@ -119,6 +124,8 @@
 }
 
 func getJSON(ctx context.Context, admin netip.AddrPort, path string, value any) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
 	url := "http://" + admin.String() + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
