--- a/internal/core/rank/limit.go
+++ b/internal/core/rank/limit.go
@@ -27,11 +27,11 @@
 	limitFactor = 0.5
 	limitStep   = 0.1
 	// limitSamples is the number of answers between two decreases.
-	limitSamples = 5
-	// limitWeight is the weight of the newest answer in the slowdown,
-	// failWeight its weight in the share of failures.
-	limitWeight = 0.25
-	failWeight  = 0.1
+	limitSamples = 10
+	// limitWeight is the weight of the newest answer in the slowdown and in the
+	// share of failures, timeWeight its weight in the mean time of its kind.
+	limitWeight = 0.1
+	timeWeight  = 0.05
 	// baseRises is the part by which the remembered best time of a kind rises
 	// with each answer towards what is measured.
 	baseRises = 0.001
@@ -92,7 +92,7 @@
 		known = &kindTime{mean: sample, best: sample}
 		l.times[kind] = known
 	}
-	known.mean += limitWeight * (sample - known.mean)
+	known.mean += timeWeight * (sample - known.mean)
 	known.best = min(known.mean, known.best+baseRises*(known.mean-known.best))
 	return known
 }
@@ -174,7 +174,7 @@
 	}
 	l.samples++
 	l.ratio += limitWeight * (ratio - l.ratio)
-	l.fails += failWeight * (failed - l.fails)
+	l.fails += limitWeight * (failed - l.fails)
 	if l.probe == it.work.Request {
 		s.probed(now, d, ending.Failed || ratio > slowRatio, ending.Failed)
 		return
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/share_bench.go
@@ -260,18 +260,25 @@
 	return d.fleetMeter.allows(now, slots, d.fleet.busy())
 }
 
-// limit returns the slots of d that all may use, as the most careful instance
-// sees it.
+// limit returns the slots of d that all may use: the mean of what the instances
+// would use, so that the bad luck of one does not slow all.
 func (b *bench) limit(s *Scheduler, d *database) int {
-	limit := s.limitOf(d)
+	sum := 0
 	for _, p := range b.petitioners {
-		for _, l := range p.limits {
-			if l.Database == d.id {
-				limit = max(1, min(limit, l.Slots))
-			}
+		sum += p.limitOf(d.id, s.limits.Slots)
+	}
+	count := max(1, len(b.petitioners))
+	return max(1, (sum+count/2)/count)
+}
+
+// limitOf returns the slots of a database that the instance would use.
+func (p *petitioner) limitOf(id model.DatabaseID, slots int) int {
+	for _, l := range p.limits {
+		if l.Database == id {
+			return min(max(1, l.Slots), slots)
 		}
 	}
-	return limit
+	return slots
 }
 
 // unmet returns how many requests of a want have no lease on its way.
