Fade the service rates of a group at once

A refusal computed some sixteen exponentials: 1.82 us against 13.8 us for a served request. With one for the whole group it is 1.0 us against 11.7 us, under a tenth.

go test ./internal/core/rank -run xxx -bench .

--- a/internal/core/rank/admission.go
+++ b/internal/core/rank/admission.go
@@ -178,17 +178,18 @@
 // those leave; or by its floor and what it used lately, whatever waits in other
 // ranks. Late work is served at the rate that prompt work leaves.
 func (s *Scheduler) ahead(now time.Time, g *group, q *queue, work *Work) waits {
+	g.fade(now)
 	a := s.access(work.Kind)
-	slots := s.slotsOf(now, g, a)
+	slots := s.slotsOf(g, a)
 	prompt := q.backlog[a][classPrompt].ahead(now, work.Deadline)
 	late := prompt + q.backlog[a][classLate].ahead(now, work.Deadline)
 	before, left := time.Duration(0), slots
 	for _, other := range g.queues[:q.rank] {
 		before += other.backlog[a][classPrompt].total()
-		left -= other.drained(now, a)
+		left -= other.drained(a)
 	}
-	kept := max(s.floors[q.rank]*slots, q.drained(now, a))
-	used := q.drain[a][classPrompt].at(now) / window.Seconds()
+	kept := max(s.floors[q.rank]*slots, q.drained(a))
+	used := q.drain[a][classPrompt] / window.Seconds()
 	return waits{
 		prompt: min(waitFor(before+prompt, left), waitFor(prompt, kept)),
 		late:   min(waitFor(before+late, left-used), waitFor(late, kept-used)),
@@ -196,8 +197,8 @@
 }
 
 // drained returns the slots that the rank used on average over the window.
-func (q *queue) drained(now time.Time, a model.Access) float64 {
-	return (q.drain[a][classPrompt].at(now) + q.drain[a][classLate].at(now)) / window.Seconds()
+func (q *queue) drained(a model.Access) float64 {
+	return (q.drain[a][classPrompt] + q.drain[a][classLate]) / window.Seconds()
 }
 
 // waitFor returns the time in which a backlog is served at a rate of slots.
--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -36,6 +36,8 @@
 	queues    []*queue
 	share     share
 	retries   retries
+	// faded is when the drains of all queues were last brought up to date.
+	faded time.Time
 }
 
 // database is the state of one database.
@@ -71,8 +73,9 @@
 	waiting int
 	bytes   int
 	backlog [accesses][classes]backlog
-	drain   [accesses][classes]usage
-	count   counters
+	// drain is the slot-time used lately, in slot-seconds, as of group.faded.
+	drain [accesses][classes]float64
+	count counters
 }
 
 func newQueue(r model.Rank, width time.Duration) *queue {
@@ -86,6 +89,26 @@
 	return q
 }
 
+// fadeStep is the least time between two fadings.
+const fadeStep = time.Millisecond
+
+// fade brings the drains of all queues up to date.
+func (g *group) fade(now time.Time) {
+	elapsed := now.Sub(g.faded)
+	if elapsed < fadeStep {
+		return
+	}
+	g.faded = now
+	left := decay(elapsed)
+	for _, q := range g.queues {
+		for a := range q.drain {
+			for c := range q.drain[a] {
+				q.drain[a][c] *= left
+			}
+		}
+	}
+}
+
 // maskOf returns the set of the group's databases that the list names.
 func (g *group) maskOf(list []model.DatabaseID) uint64 {
 	mask := uint64(0)
@@ -339,5 +362,7 @@
 func (s *Scheduler) charge(now time.Time, q *queue, it *item, slots time.Duration) {
 	q.caller(it.work.Caller).usage.add(now, slots)
 	q.usage.add(now, slots)
-	q.drain[s.access(it.work.Kind)][it.class].add(now, slots)
+	it.database.group.fade(now)
+	drain := &q.drain[s.access(it.work.Kind)][it.class]
+	*drain = max(0, *drain+slots.Seconds())
 }
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -367,7 +367,7 @@
 
 // slotsOf returns the slots that this instance may count on for an access: its
 // equal share, or what it used lately where that is more.
-func (s *Scheduler) slotsOf(now time.Time, g *group, a model.Access) float64 {
+func (s *Scheduler) slotsOf(g *group, a model.Access) float64 {
 	databases := len(g.databases)
 	if a == model.AccessWrite {
 		databases = 1
@@ -375,7 +375,7 @@
 	equal := float64(s.limits.Slots*databases) / float64(max(1, len(s.peers.known)))
 	used := 0.0
 	for _, q := range g.queues {
-		used += q.drained(now, a)
+		used += q.drained(a)
 	}
 	return max(equal, used)
 }
