Charge a meter for the time that its slots were used

A meter charged the slots in use at the end of each interval and missed the last one of each request: a share of 0.57 slots used 0.633. It now charges what was in use since the call before. New tests: shares of a meter, and both sides of a cut fleet.

--- a/internal/core/rank/share.go
+++ b/internal/core/rank/share.go
@@ -123,15 +123,18 @@
 type meter struct {
 	saved float64
 	since time.Time
+	// busy is the number of slots used since then.
+	busy int
 }
 
-// advance brings the meter to now, with busy slots used since the last call.
+// advance brings the meter to now, from when on busy slots are used.
 func (m *meter) advance(now time.Time, rate float64, busy int) {
 	if elapsed := now.Sub(m.since).Seconds(); elapsed > 0 {
-		m.saved += (rate - float64(busy)) * elapsed
+		m.saved += (rate - float64(m.busy)) * elapsed
 		m.saved = min(max(m.saved, -meterDebt), meterBurst)
 		m.since = now
 	}
+	m.busy = busy
 }
 
 // allows reports whether one more slot may be used at the rate.
--- a/internal/core/rank/share_test.go
+++ b/internal/core/rank/share_test.go
@@ -17,6 +17,8 @@
 	members []*member
 	links   []*parcel
 	next    model.RequestID
+	// cut tells whether no message passes between two members.
+	cut func(a, b model.InstanceID) bool
 }
 
 type member struct {
@@ -78,6 +80,9 @@
 			})
 		}
 		for _, sent := range m.s.Messages(f.now) {
+			if f.cut != nil && f.cut(m.id, sent.To) {
+				continue
+			}
 			f.links = append(f.links, &parcel{from: m.id, to: sent.To, body: sent.Body, arrives: f.arrival(m.id, sent.To, delay())})
 		}
 	}
@@ -192,6 +197,73 @@
 	})
 }
 
+// TestMeterKeepsShare uses a meter whenever it allows, with requests of 10 ms.
+func TestMeterKeepsShare(t *testing.T) {
+	for _, rate := range []float64{0.3, 0.57, 1.14, 2, 2.86} {
+		m := meter{since: start}
+		var ends []time.Time
+		used := time.Duration(0)
+		for now := start; now.Before(after(10 * time.Second)); now = now.Add(ms) {
+			for len(ends) > 0 && !now.Before(ends[0]) {
+				ends = ends[1:]
+			}
+			for m.allows(now, rate, len(ends)) {
+				ends = append(ends, now.Add(10*ms))
+			}
+			used += time.Duration(len(ends)) * ms
+		}
+		if got := used.Seconds() / 10; got < 0.95*rate || got > 1.05*rate {
+			t.Errorf("rate %.2f: %.3f slots used", rate, got)
+		}
+	}
+}
+
+// TestCutOffSidesServe cuts a busy fleet in two. Each side must serve nearly all
+// of its urgent work, which is less than its part of the slots, once it has
+// noticed.
+func TestCutOffSidesServe(t *testing.T) {
+	f := newFleet(7)
+	arbiter := f.members[0].s.peers.arbiter("g")
+	few := map[model.InstanceID]bool{arbiter: true, f.members[0].id: true, f.members[1].id: true}
+	still := func() time.Duration { return ms }
+	service := func() time.Duration { return 10 * ms }
+	offered := map[bool]int{}
+	run := func(until, gap time.Duration) {
+		for ; f.now.Before(after(until)); f.step(2*ms, still, service, on("a")) {
+			if elapsed := f.now.Sub(start); elapsed%gap == 0 {
+				for _, m := range f.members {
+					f.offer(m, 0, time.Second)
+					offered[few[m.id]]++
+				}
+			}
+		}
+	}
+	run(2*time.Second, 20*ms)
+	f.cut = func(a, b model.InstanceID) bool { return few[a] != few[b] }
+	run(3*time.Second, 20*ms)
+	served := map[bool]int{}
+	for _, m := range f.members {
+		var side []model.InstanceID
+		for _, other := range f.members {
+			if few[other.id] == few[m.id] {
+				side = append(side, other.id)
+			}
+		}
+		m.s.SetPeers(f.now, side)
+		served[few[m.id]] -= m.served[0]
+	}
+	clear(offered)
+	run(8*time.Second, 50*ms)
+	for _, m := range f.members {
+		served[few[m.id]] += m.served[0]
+	}
+	for _, side := range []bool{true, false} {
+		if served[side] < offered[side]*95/100 {
+			t.Errorf("cut-off side %v served %d of %d", side, served[side], offered[side])
+		}
+	}
+}
+
 // TestConnectionsNeverExceedLimit lets instances join one after another, with
 // each step learnt late by any of them, and checks the sum of the budgets.
 func TestConnectionsNeverExceedLimit(t *testing.T) {
