Keep the leases of an arbiter, and remove the other ways to divide slots

What is kept of equal shares is the fallback of an instance that does not hear from the arbiter. The types are named after leases, arbiter and clients now.

--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -34,7 +34,7 @@
 	id        model.GroupID
 	databases []*database
 	queues    []*queue
-	share     share
+	leasing   *leasing
 	retries   retries
 	// faded is when the drains of all queues were last brought up to date.
 	faded time.Time
@@ -263,7 +263,7 @@
 // grantRank starts one work of a rank that d may serve. It reports whether it
 // did.
 func (s *Scheduler) grantRank(now time.Time, d *database, q *queue, candidates Candidates) bool {
-	if q.waiting == 0 || !s.allows(now, d, q.rank) {
+	if q.waiting == 0 || !d.group.leasing.holder.allows(s, now, d, q.rank) {
 		return false
 	}
 	for range looksPerPick {
@@ -335,7 +335,7 @@
 		if other == nil || other.group != d.group || other.limiter.state != circuitClosed {
 			continue
 		}
-		if s.isFree(other) && s.allows(now, other, r) {
+		if s.isFree(other) && d.group.leasing.holder.allows(s, now, other, r) {
 			return other
 		}
 	}
@@ -352,7 +352,7 @@
 		d.limiter.probe = it.work.Request
 	}
 	d.ledger.start(now, q.rank)
-	s.started(now, it)
+	d.group.leasing.holder.started(now, it)
 	s.charge(now, q, it, it.cost)
 	q.count.running++
 	s.grants = append(s.grants, Grant{Request: it.work.Request, Database: d.id})
--- a/internal/core/rank/share_bench.go
+++ b/internal/core/rank/lease_arbiter.go
@@ -11,18 +11,18 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
-// bench is the state of the instance that is a group's arbiter.
-type bench struct {
-	since       time.Time
-	petitioners []*petitioner
-	leases      []*lease
+// arbiter is the state of the instance that is a group's arbiter.
+type arbiter struct {
+	since   time.Time
+	clients []*client
+	leases  []*lease
 	// number is the last lease's; its upper half tells arbiters apart.
 	number uint64
 	order  []model.Rank
 }
 
-// petitioner is what the arbiter knows of one instance.
-type petitioner struct {
+// client is what the arbiter knows of one instance.
+type client struct {
 	id       model.InstanceID
 	sequence uint64
 	seen     uint64
@@ -51,7 +51,7 @@
 // lease is one slot given to an instance.
 type lease struct {
 	number   uint64
-	to       *petitioner
+	to       *client
 	database *database
 	rank     model.Rank
 	since    time.Time
@@ -61,21 +61,21 @@
 	recall bool
 }
 
-func newBench(self model.InstanceID, now time.Time) *bench {
+func newArbiter(self model.InstanceID, now time.Time) *arbiter {
 	start := strconv.FormatInt(now.UnixNano(), 36)
-	return &bench{since: now, number: xxhash.Sum64String(string(self)+"/"+start) << 32}
+	return &arbiter{since: now, number: xxhash.Sum64String(string(self)+"/"+start) << 32}
 }
 
-// petitioner returns the state of an instance.
-func (b *bench) petitioner(id model.InstanceID) *petitioner {
-	for _, p := range b.petitioners {
+// client returns the state of an instance.
+func (a *arbiter) client(id model.InstanceID) *client {
+	for _, p := range a.clients {
 		if p.id == id {
 			return p
 		}
 	}
 	// Permits of a later reign count higher than those of an earlier one.
-	p := &petitioner{id: id, permits: uint64(b.since.UnixNano())}
-	b.petitioners = append(b.petitioners, p)
+	p := &client{id: id, permits: uint64(a.since.UnixNano())}
+	a.clients = append(a.clients, p)
 	return p
 }
 
@@ -83,8 +83,8 @@
 // Demands.
 
 // hear takes in a demand.
-func (b *bench) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, demand *message.Demand) {
-	p := b.petitioner(from)
+func (a *arbiter) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, demand *message.Demand) {
+	p := a.client(from)
 	if demand.Sequence <= p.sequence {
 		return
 	}
@@ -97,7 +97,7 @@
 			mask: g.maskOf(w.Databases), rank: s.clamp(w.Rank), late: w.Late, waiting: w.Waiting, due: now.Add(w.Slack),
 		})
 	}
-	b.settle(s, now, p, demand.Held)
+	a.settle(s, now, p, demand.Held)
 }
 
 // maxTrip bounds what is taken for the way there and back, and tripRises is the
@@ -108,7 +108,7 @@
 )
 
 // measure takes in how long the newest permit took to be seen.
-func (p *petitioner) measure(now time.Time, seen uint64) {
+func (p *client) measure(now time.Time, seen uint64) {
 	if seen != p.permits || p.seen == seen {
 		return
 	}
@@ -121,9 +121,9 @@
 
 // settle renews the leases that an instance still holds, frees those it gave
 // back, and adopts those it has from an earlier arbiter.
-func (b *bench) settle(s *Scheduler, now time.Time, p *petitioner, held []message.HeldLease) {
-	kept := b.leases[:0]
-	for _, l := range b.leases {
+func (a *arbiter) settle(s *Scheduler, now time.Time, p *client, held []message.HeldLease) {
+	kept := a.leases[:0]
+	for _, l := range a.leases {
 		switch {
 		case l.to != p:
 		case isHeld(held, l.number):
@@ -136,11 +136,11 @@
 		}
 		kept = append(kept, l)
 	}
-	clear(b.leases[len(kept):])
-	b.leases = kept
+	clear(a.leases[len(kept):])
+	a.leases = kept
 	for _, h := range held {
-		if d := s.databases[h.Database]; d != nil && !b.has(h.Lease) {
-			b.add(now, &lease{number: h.Lease, to: p, database: d, rank: s.clamp(h.Rank)})
+		if d := s.databases[h.Database]; d != nil && !a.has(h.Lease) {
+			a.add(now, &lease{number: h.Lease, to: p, database: d, rank: s.clamp(h.Rank)})
 		}
 	}
 }
@@ -154,8 +154,8 @@
 	return false
 }
 
-func (b *bench) has(number uint64) bool {
-	for _, l := range b.leases {
+func (a *arbiter) has(number uint64) bool {
+	for _, l := range a.leases {
 		if l.number == number {
 			return true
 		}
@@ -164,19 +164,19 @@
 }
 
 // add counts a lease.
-func (b *bench) add(now time.Time, l *lease) {
+func (a *arbiter) add(now time.Time, l *lease) {
 	l.since = now
 	l.expires = now.Add(leaseValid + leaseGrace)
 	l.permit = l.to.permits + 1
 	l.to.changed = true
 	l.database.fleet.start(now, l.rank)
-	b.leases = append(b.leases, l)
+	a.leases = append(a.leases, l)
 }
 
 // expire frees the leases that were not renewed.
-func (b *bench) expire(now time.Time) {
-	kept := b.leases[:0]
-	for _, l := range b.leases {
+func (a *arbiter) expire(now time.Time) {
+	kept := a.leases[:0]
+	for _, l := range a.leases {
 		if now.Before(l.expires) {
 			kept = append(kept, l)
 			continue
@@ -184,8 +184,8 @@
 		l.database.fleet.stop(now, l.rank)
 		l.to.changed = true
 	}
-	clear(b.leases[len(kept):])
-	b.leases = kept
+	clear(a.leases[len(kept):])
+	a.leases = kept
 }
 
 // -----------------------------------------------------------------------------
@@ -193,24 +193,24 @@
 
 // forget drops the wants of instances that are gone or no longer ask, and the
 // instances themselves once their leases have ended.
-func (b *bench) forget(s *Scheduler, now time.Time) {
-	kept := b.petitioners[:0]
-	for _, p := range b.petitioners {
+func (a *arbiter) forget(s *Scheduler, now time.Time) {
+	kept := a.clients[:0]
+	for _, p := range a.clients {
 		isLive := slices.Contains(s.peers.live, p.id)
 		if !isLive || now.Sub(p.heard) > wantFades {
 			p.wants = p.wants[:0]
 		}
-		if isLive || b.holds(p) {
+		if isLive || a.holds(p) {
 			kept = append(kept, p)
 		}
 	}
-	clear(b.petitioners[len(kept):])
-	b.petitioners = kept
+	clear(a.clients[len(kept):])
+	a.clients = kept
 }
 
 // holds reports whether an instance has leases.
-func (b *bench) holds(p *petitioner) bool {
-	for _, l := range b.leases {
+func (a *arbiter) holds(p *client) bool {
+	for _, l := range a.leases {
 		if l.to == p {
 			return true
 		}
@@ -218,61 +218,61 @@
 	return false
 }
 
-// decide gives free slots to the demand and recalls leases for demand that has
+// decide gives free slots to the demand and recalls leases to demand that has
 // a better claim.
-func (b *bench) decide(s *Scheduler, now time.Time, g *group) {
-	b.expire(now)
-	b.forget(s, now)
-	if !b.isReady(s, now) {
+func (a *arbiter) decide(s *Scheduler, now time.Time, g *group) {
+	a.expire(now)
+	a.forget(s, now)
+	if !a.isReady(s, now) {
 		return
 	}
 	for progress := true; progress; {
 		progress = false
 		for _, d := range g.databases {
-			if b.hasFree(s, now, d) && b.lend(s, now, d) {
+			if a.hasFree(s, now, d) && a.grant(s, now, d) {
 				progress = true
 			}
 		}
 	}
 	for _, d := range g.databases {
-		b.recall(s, now, d)
+		a.recall(s, now, d)
 	}
 }
 
 // isReady reports whether the arbiter knows which leases an earlier arbiter
 // gave: all live instances have spoken, or such leases have ended.
-func (b *bench) isReady(s *Scheduler, now time.Time) bool {
-	if now.Sub(b.since) > leaseValid+leaseGrace {
+func (a *arbiter) isReady(s *Scheduler, now time.Time) bool {
+	if now.Sub(a.since) > leaseValid+leaseGrace {
 		return true
 	}
 	for _, id := range s.peers.live {
-		if b.petitioner(id).heard.IsZero() {
+		if a.client(id).heard.IsZero() {
 			return false
 		}
 	}
 	return true
 }
 
-// hasFree reports whether a slot of d may be lent. While instances are
+// hasFree reports whether a slot of d may be leased. While instances are
 // unreachable, their share stays free for them.
-func (b *bench) hasFree(s *Scheduler, now time.Time, d *database) bool {
-	slots := float64(b.limit(s, d)+slotsAhead) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
+func (a *arbiter) hasFree(s *Scheduler, now time.Time, d *database) bool {
+	slots := float64(a.limit(s, d)+slotsAhead) * float64(len(s.peers.live)) / float64(max(1, len(s.peers.known)))
 	return d.fleetMeter.allows(now, slots, d.fleet.busy())
 }
 
 // limit returns the slots of d that all may use: the mean of what the instances
 // would use, so that the bad luck of one does not slow all.
-func (b *bench) limit(s *Scheduler, d *database) int {
+func (a *arbiter) limit(s *Scheduler, d *database) int {
 	sum := 0
-	for _, p := range b.petitioners {
+	for _, p := range a.clients {
 		sum += p.limitOf(d.id, s.limits.Slots)
 	}
-	count := max(1, len(b.petitioners))
+	count := max(1, len(a.clients))
 	return max(1, (sum+count/2)/count)
 }
 
 // limitOf returns the slots of a database that the instance would use.
-func (p *petitioner) limitOf(id model.DatabaseID, slots int) int {
+func (p *client) limitOf(id model.DatabaseID, slots int) int {
 	for _, l := range p.limits {
 		if l.Database == id {
 			return min(max(1, l.Slots), slots)
@@ -282,9 +282,9 @@
 }
 
 // unmet returns how many requests of a want have no lease on its way.
-func (b *bench) unmet(p *petitioner, w *want) int {
+func (a *arbiter) unmet(p *client, w *want) int {
 	n := w.waiting
-	for _, l := range b.leases {
+	for _, l := range a.leases {
 		if l.to == p && l.rank == w.rank && l.permit > p.seen && l.database.bit&w.mask != 0 {
 			n--
 		}
@@ -294,7 +294,7 @@
 
 // claim is a want that has a claim on a slot of a database.
 type claim struct {
-	from  *petitioner
+	from  *client
 	want  *want
 	unmet int
 	due   time.Time
@@ -314,10 +314,10 @@
 
 // claimOf returns the best claim of a rank on d: the earliest deadline. For a
 // loan, it is one of an instance that is not full.
-func (b *bench) claimOf(s *Scheduler, d *database, r model.Rank, loan bool) (claim, bool) {
+func (a *arbiter) claimOf(s *Scheduler, d *database, r model.Rank, loan bool) (claim, bool) {
 	best, found := claim{}, false
-	for _, p := range b.petitioners {
-		full := b.heldBy(p, d) >= s.perInstance(d)
+	for _, p := range a.clients {
+		full := a.heldBy(p, d) >= s.perInstance(d)
 		if full && loan {
 			continue
 		}
@@ -326,8 +326,8 @@
 			if w.rank != r || w.mask&d.bit == 0 {
 				continue
 			}
-			n := b.unmet(p, w)
-			// What was lent already took the earliest deadlines of the want.
+			n := a.unmet(p, w)
+			// What was leased already took the earliest deadlines of the want.
 			c := claim{from: p, want: w, unmet: n, due: w.due.Add(time.Duration(w.waiting-n) * defaultCost), full: full}
 			if n > 0 && (!found || c.before(&best)) {
 				best, found = c, true
@@ -338,9 +338,9 @@
 }
 
 // heldBy counts the leases of an instance on d.
-func (b *bench) heldBy(p *petitioner, d *database) int {
+func (a *arbiter) heldBy(p *client, d *database) int {
 	n := 0
-	for _, l := range b.leases {
+	for _, l := range a.leases {
 		if l.to == p && l.database == d {
 			n++
 		}
@@ -348,30 +348,30 @@
 	return n
 }
 
-// lend gives one free slot of d to the best claim. It reports whether there
+// grant leases one free slot of d to the best claim. It reports whether there
 // was one.
-func (b *bench) lend(s *Scheduler, now time.Time, d *database) bool {
-	b.order = d.fleet.order(now, s.floors, b.order)
-	for _, r := range b.order {
-		best, found := b.claimOf(s, d, r, true)
+func (a *arbiter) grant(s *Scheduler, now time.Time, d *database) bool {
+	a.order = d.fleet.order(now, s.floors, a.order)
+	for _, r := range a.order {
+		best, found := a.claimOf(s, d, r, true)
 		if !found {
 			continue
 		}
-		b.number++
-		lent := &lease{number: b.number, to: best.from, database: d, rank: r}
-		b.add(now, lent)
-		s.noteLent(now, lent)
+		a.number++
+		granted := &lease{number: a.number, to: best.from, database: d, rank: r}
+		a.add(now, granted)
+		s.noteGranted(now, granted)
 		return true
 	}
 	return false
 }
 
 // recall asks for leases on d back that have a worse claim than what waits.
-func (b *bench) recall(s *Scheduler, now time.Time, d *database) {
-	b.order = d.fleet.order(now, s.floors, b.order)
-	coming := b.recalled(d)
-	for place, r := range b.order {
-		best, found := b.claimOf(s, d, r, false)
+func (a *arbiter) recall(s *Scheduler, now time.Time, d *database) {
+	a.order = d.fleet.order(now, s.floors, a.order)
+	coming := a.recalled(d)
+	for place, r := range a.order {
+		best, found := a.claimOf(s, d, r, false)
 		if !found {
 			continue
 		}
@@ -380,7 +380,7 @@
 				coming--
 				continue
 			}
-			victim := b.victim(now, d, place, best)
+			victim := a.victim(now, d, place, best)
 			if victim == nil {
 				break
 			}
@@ -392,9 +392,9 @@
 }
 
 // recalled counts the leases on d that are on their way back.
-func (b *bench) recalled(d *database) int {
+func (a *arbiter) recalled(d *database) int {
 	n := 0
-	for _, l := range b.leases {
+	for _, l := range a.leases {
 		if l.database == d && l.recall {
 			n++
 		}
@@ -405,14 +405,14 @@
 // victim returns the lease that gives way to a claim of the rank at a place of
 // the order: one of a later rank at once, one of the same rank after its
 // quantum.
-func (b *bench) victim(now time.Time, d *database, place int, c claim) *lease {
+func (a *arbiter) victim(now time.Time, d *database, place int, c claim) *lease {
 	var worst *lease
 	worstPlace := place
-	for _, l := range b.leases {
+	for _, l := range a.leases {
 		if l.database != d || l.recall || (c.full && l.to != c.from) {
 			continue
 		}
-		at := placeOf(b.order, l.rank)
+		at := placeOf(a.order, l.rank)
 		if at < worstPlace || (at == place && !isOver(now, l, c)) {
 			continue
 		}
@@ -457,7 +457,7 @@
 // Permits.
 
 // permit returns what an instance shall hear, and whether it is due.
-func (b *bench) permit(now time.Time, g *group, p *petitioner) (message.Permit, bool) {
+func (a *arbiter) permit(now time.Time, g *group, p *client) (message.Permit, bool) {
 	asks := p.heard.After(p.sent) && now.Sub(p.sent) >= permitKeep
 	if !p.changed && !asks {
 		return message.Permit{}, false
@@ -465,7 +465,7 @@
 	p.permits++
 	p.sent, p.changed = now, false
 	permit := message.Permit{Group: g.id, Sequence: p.permits, Seen: p.sequence, Valid: leaseValid}
-	for _, l := range b.leases {
+	for _, l := range a.leases {
 		if l.to == p {
 			permit.Leases = append(permit.Leases, message.Lease{
 				Lease: l.number, Database: l.database.id, Rank: l.rank, Recall: l.recall,
--- a/internal/core/rank/share_arbiter.go
+++ b/internal/core/rank/lease_holder.go
@@ -11,6 +11,8 @@
 
 // Times of leases.
 const (
+	// demandGap is the least time between two demands with news.
+	demandGap = 2 * time.Millisecond
 	// leaseValid is how long a lease holds without renewal.
 	leaseValid = 200 * time.Millisecond
 	// leaseGrace is how much longer the arbiter counts it as used.
@@ -29,80 +31,6 @@
 	arbiterPatience = 100 * time.Millisecond
 )
 
-// arbiterShare lets one instance of the fleet, the group's arbiter, lease the
-// slots of the group's databases to the ranks that wait on all instances.
-// Nothing depends on the arbiter for safety: instances that do not hear from it
-// go on with an equal share.
-type arbiterShare struct {
-	holder holder
-	// bench is nil while another instance is the arbiter.
-	bench *bench
-}
-
-func newArbiterShare() *arbiterShare {
-	return &arbiterShare{holder: holder{returned: map[uint64]uint64{}}}
-}
-
-func (*arbiterShare) isShare() {}
-
-// elect adopts the arbiter that the live instances give.
-func (w *arbiterShare) elect(s *Scheduler, now time.Time, g *group) {
-	arbiter := s.peers.arbiter(g.id)
-	if arbiter == w.holder.arbiter {
-		return
-	}
-	s.note(now, arbiterChanged(g, w.holder.arbiter, arbiter))
-	w.holder.follow(arbiter)
-	w.bench = nil
-	if arbiter == s.self {
-		w.bench = newBench(s.self, now)
-	}
-}
-
-// hear takes in a Demand or Permit.
-func (w *arbiterShare) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, body message.PeerMessage) {
-	switch body := body.(type) {
-	case message.Demand:
-		if w.bench != nil {
-			w.bench.hear(s, now, g, from, &body)
-		}
-	case message.Permit:
-		if from == w.holder.arbiter {
-			w.holder.hear(s, now, &body)
-		}
-	}
-}
-
-// messages returns the demand of this instance, and the permits that it gives
-// as the arbiter.
-func (w *arbiterShare) messages(s *Scheduler, now time.Time, g *group) []message.SendPeer {
-	var out []message.SendPeer
-	demand, due := w.holder.demand(s, now, g)
-	switch {
-	case due && w.bench != nil:
-		w.bench.hear(s, now, g, s.self, &demand)
-	case due && w.holder.arbiter != "":
-		out = append(out, message.SendPeer{To: w.holder.arbiter, Body: demand})
-	}
-	if w.bench == nil {
-		return out
-	}
-	w.bench.decide(s, now, g)
-	for _, p := range w.bench.petitioners {
-		permit, due := w.bench.permit(now, g, p)
-		switch {
-		case due && p.id == s.self:
-			w.holder.hear(s, now, &permit)
-		case due:
-			out = append(out, message.SendPeer{To: p.id, Body: permit})
-		}
-	}
-	return out
-}
-
-// -----------------------------------------------------------------------------
-// The holder's side.
-
 // holder is the state of an instance that asks the arbiter for leases.
 type holder struct {
 	arbiter  model.InstanceID
--- a/internal/core/rank/note.go
+++ b/internal/core/rank/note.go
@@ -131,11 +131,11 @@
 	}}
 }
 
-func (s *Scheduler) noteLent(now time.Time, l *lease) {
-	if !s.isNoted(now, &event.LeaseLent) {
+func (s *Scheduler) noteGranted(now time.Time, l *lease) {
+	if !s.isNoted(now, &event.LeaseGranted) {
 		return
 	}
-	s.note(now, message.Note{Event: event.LeaseLent, Fields: []event.Field{
+	s.note(now, message.Note{Event: event.LeaseGranted, Fields: []event.Field{
 		event.F("group", l.database.group.id), event.F("database", l.database.id),
 		event.F("rank", s.rankName(l.rank)), event.F("instance", l.to.id),
 	}})
--- a/internal/core/rank/report.go
+++ b/internal/core/rank/report.go
@@ -29,7 +29,7 @@
 // GroupReport is the part of one group.
 type GroupReport struct {
 	Group model.GroupID
-	// Arbiter is the instance that lends the group's slots.
+	// Arbiter is the instance that leases the group's slots.
 	Arbiter model.InstanceID
 	// Alone says that the arbiter does not answer, and this instance uses an
 	// equal share.
@@ -80,11 +80,8 @@
 func (s *Scheduler) Report(now time.Time) Report {
 	var report Report
 	for _, g := range s.sequence {
-		part := GroupReport{Group: g.id}
-		if way, ok := g.share.(*arbiterShare); ok {
-			part.Arbiter = way.holder.arbiter
-			part.Alone = way.holder.isAlone(now)
-		}
+		holder := &g.leasing.holder
+		part := GroupReport{Group: g.id, Arbiter: holder.arbiter, Alone: holder.isAlone(now)}
 		for _, q := range g.queues {
 			part.Queues = append(part.Queues, s.reportQueue(now, q))
 		}
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -77,7 +77,6 @@
 // Scheduler orders the work of one instance.
 type Scheduler struct {
 	self model.InstanceID
-	way  string
 	// born is when the first manifest came, now the time of the last call that
 	// told it.
 	born, now time.Time
@@ -105,9 +104,6 @@
 // Option changes how a scheduler works.
 type Option func(*Scheduler)
 
-// WithShare chooses how the instances divide slots, one of ShareNames.
-func WithShare(name string) Option { return func(s *Scheduler) { s.way = name } }
-
 // WithFixedLimits turns adaptive limits and circuits off.
 func WithFixedLimits() Option { return func(s *Scheduler) { s.hasFixedLimits = true } }
 
@@ -116,7 +112,6 @@
 func NewScheduler(self model.InstanceID, options ...Option) *Scheduler {
 	s := &Scheduler{
 		self:      self,
-		way:       defaultShare,
 		kinds:     map[string]*kind{},
 		groups:    map[model.GroupID]*group{},
 		databases: map[model.DatabaseID]*database{},
@@ -181,7 +176,7 @@
 func (s *Scheduler) configureGroup(now time.Time, declared manifest.Group, known map[model.DatabaseID]*database) {
 	g := s.groups[declared.Name]
 	if g == nil {
-		g = &group{id: declared.Name, share: newShare(s.way), retries: retries{saved: retryFirst, since: now}}
+		g = &group{id: declared.Name, leasing: newLeasing(), retries: retries{saved: retryFirst, since: now}}
 		s.groups[declared.Name] = g
 	}
 	s.sequence = append(s.sequence, g)
@@ -325,8 +320,8 @@
 	s.peers.refresh(now)
 	for _, g := range s.sequence {
 		s.grantGroup(now, g, candidates)
-		s.outbox = append(s.outbox, s.messages(now, g)...)
-		if g.isArbiter() {
+		s.outbox = append(s.outbox, g.leasing.messages(s, now, g)...)
+		if g.leasing.arbiter != nil {
 			s.grantGroup(now, g, candidates)
 		}
 	}
@@ -343,7 +338,7 @@
 	q := s.groups[it.work.Group].queueOf(&it.work)
 	took := now.Sub(it.started)
 	it.database.ledger.stop(now, q.rank)
-	s.finished(it)
+	it.database.group.leasing.holder.finished(it)
 	s.learn(now, it, ending)
 	s.charge(now, q, it, took-it.cost)
 	q.count.running--
@@ -402,9 +397,7 @@
 // elect adopts the arbiters that the live instances give.
 func (s *Scheduler) elect(now time.Time) {
 	for _, g := range s.sequence {
-		if way, ok := g.share.(*arbiterShare); ok {
-			way.elect(s, now, g)
-		}
+		g.leasing.elect(s, now, g)
 	}
 }
 
@@ -418,7 +411,7 @@
 		id = body.Group
 	}
 	if g := s.groups[id]; g != nil {
-		s.hear(now, g, from, body)
+		g.leasing.hear(s, now, g, from, body)
 	}
 }
 
--- a/internal/report/event/event_rank.go
+++ b/internal/report/event/event_rank.go
@@ -45,10 +45,10 @@
 	Fields: []string{"group", "database", "left"},
 }
 
-// ArbiterChanged tells that another instance lends a group's slots.
+// ArbiterChanged tells that another instance leases a group's slots.
 var ArbiterChanged = Event{
 	Number: 520, Name: "arbiter-changed", Level: LevelInfo,
-	Text:   "another instance lends the slots of a group",
+	Text:   "another instance leases the slots of a group",
 	Fields: []string{"group", "before", "after", "left"},
 }
 
@@ -66,10 +66,10 @@
 	Fields: []string{"instance", "until", "left"},
 }
 
-// LeaseLent tells that the arbiter lent a slot.
-var LeaseLent = Event{
-	Number: 530, Name: "lease-lent", Level: LevelDebug,
-	Text:   "this instance, as the arbiter of a group, lent a slot of a database",
+// LeaseGranted tells that the arbiter leased a slot.
+var LeaseGranted = Event{
+	Number: 530, Name: "lease-granted", Level: LevelDebug,
+	Text:   "this instance, as the arbiter of a group, leased a slot of a database",
 	Fields: []string{"group", "database", "rank", "instance", "left"},
 }
 
@@ -91,6 +91,6 @@
 	WorkRefused, WorkExpired,
 	LimitLowered, LimitRestored, CircuitOpened, CircuitClosed,
 	ArbiterChanged, ArbiterSilent, ShareReserved,
-	LeaseLent, LeaseRecalled,
+	LeaseGranted, LeaseRecalled,
 	RetryRefused,
 }
--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -17,7 +17,7 @@
 //
 // # Usage
 //
-//	result := flood.Run(flood.Scenario{Place: flood.Consortium, Way: "arbiter", Rank: 2, Load: 10, Seed: 1})
+//	result := flood.Run(flood.Scenario{Place: flood.Consortium, Way: flood.Leases, Rank: 2, Load: 10, Seed: 1})
 //	fmt.Println(result.Ranks[0].Inside())
 package flood
 
@@ -114,10 +114,21 @@
 // -----------------------------------------------------------------------------
 // Scenarios.
 
+// The ways to divide slots.
+const (
+	// Baseline is a first-come-first-served pool with fixed equal shares.
+	Baseline = "baseline"
+	// Leases is the scheduler of core/rank.
+	Leases = "leases"
+)
+
+// Ways lists the ways to divide slots.
+var Ways = []string{Baseline, Leases}
+
 // Scenario is one run.
 type Scenario struct {
 	Place Place
-	// Way is "baseline" or one of rank.ShareNames.
+	// Way is one of Ways.
 	Way string
 	// Rank is the rank that floods.
 	Rank model.Rank
@@ -138,7 +149,7 @@
 	// Cut lets no message pass between the instances of the first availability
 	// zone and the others during the flood. The databases are in reach of all.
 	Cut bool
-	// Crash lets the instance that lends the slots crash when the flood begins.
+	// Crash lets the instance that leases the slots crash when the flood begins.
 	Crash bool
 	// Skewed lets all of the flood arrive at one instance.
 	Skewed bool
