--- /dev/null
+++ b/internal/standin/demo/steps.go
@@ -0,0 +1,117 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+)
+
+// -----------------------------------------------------------------------------
+// Work.
+
+// readCount is the number of sessions that read what was written.
+const readCount = 3
+
+// writeAndRead writes through the first instance, carries the session token to
+// the second, and reads the write there.
+func (d *demo) writeAndRead(ctx context.Context) error {
+	d.say("== write through %s, read through %s", d.Instances[0].Name, d.Instances[1].Name)
+	token, err := d.write(ctx)
+	if err != nil {
+		return err
+	}
+	for range readCount {
+		value, err := d.read(ctx, token)
+		if err != nil {
+			return err
+		}
+		d.say("   read    sail-4711 = %s", value)
+		if value != "14:03:10" {
+			return &deploy.ProcessError{Name: "read", Why: "the write was not seen: " + strconv.Quote(value)}
+		}
+	}
+	return nil
+}
+
+func (d *demo) write(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, d.Instances[0], map[string]string{"eelgrassfold.kind": kind})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "sail-4711", "14:03:10")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	token := conn.PgConn().ParameterStatus("eelgrassfold.token")
+	d.say("   written sail-4711 = 14:03:10, session token %s", token)
+	return token, nil
+}
+
+func (d *demo) read(ctx context.Context, token string) (string, error) {
+	conn, err := d.connect(ctx, d.Instances[1], map[string]string{
+		"eelgrassfold.kind":  "check-rating",
+		"eelgrassfold.token": token,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	var value string
+	err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", "sail-4711").Scan(&value)
+	return value, errors.WithStack(err)
+}
+
+func (d *demo) connect(ctx context.Context, in *deploy.Instance, parameters map[string]string) (*pgx.Conn, error) {
+	place := url.URL{Scheme: "postgres", User: url.User("officer"), Host: in.Callers.String(), Path: "/" + group}
+	config, err := pgx.ParseConfig(place.String())
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for name, value := range parameters {
+		config.RuntimeParams[name] = value
+	}
+	conn, err := pgx.ConnectConfig(ctx, config)
+	return conn, errors.WithStack(err)
+}
+
+// -----------------------------------------------------------------------------
+// What it did.
+
+// showLog prints the instances' lines about routing and acknowledgement.
+func (d *demo) showLog(context.Context) error {
+	d.say("== routing decisions in the logs")
+	shown := []event.Event{event.ReadRouted, event.WriteRouted, event.WriteAcknowledged}
+	found := map[int]bool{}
+	for _, in := range d.Instances {
+		for _, line := range in.Process.Lines() {
+			for _, e := range shown {
+				if strings.Contains(line, fmt.Sprintf(" event=%d ", e.Number)) {
+					found[e.Number] = true
+					d.say("   %s", line)
+				}
+			}
+		}
+	}
+	if !found[event.ReadRouted.Number] || !found[event.WriteRouted.Number] {
+		return &deploy.ProcessError{Name: "logs", Why: "a routing decision has no line"}
+	}
+	return nil
+}
+
+func (d *demo) showStatus(ctx context.Context) error {
+	out, err := d.Operate(ctx, d.Instances[1], "status")
+	if err != nil {
+		return err
+	}
+	d.say("== eelgrassfold status\n%s", out)
+	return nil
+}
