Run floods from the command line of the stand-ins

standin flood floods|faults|peers prints one table. Tests hold the goals on virtual time: urgent work inside its target while the least urgent floods at ten times capacity, floors while urgent work floods, a failing database.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -27,6 +27,7 @@
 	Platform platformVerb `cmd:"" help:"Serve the platform's tables, objects and list of instances."`
 	Database databaseVerb `cmd:"" help:"Serve one database of a group."`
 	Load     loadVerb     `cmd:"" help:"Offer work and measure what comes back."`
+	Flood    floodVerb    `cmd:"" help:"Run floods of work through schedulers on virtual time."`
 }
 
 // streams holds where a verb writes.
@@ -45,6 +46,7 @@
 		kong.Name("standin"),
 		kong.Description("Stand-ins for tests and measurements of eelgrassfold."),
 		kong.UsageOnError(),
+		kong.Vars(floodVars()),
 		kong.Writers(out, failures),
 		kong.Exit(func(code int) { exited = code }),
 	)
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -13,7 +13,7 @@
 
 func TestHelpGolden(t *testing.T) {
 	t.Setenv("COLUMNS", "80")
-	for _, verb := range []string{"platform", "database", "load"} {
+	for _, verb := range []string{"platform", "database", "load", "flood"} {
 		t.Run(verb, func(t *testing.T) {
 			var out, failures bytes.Buffer
 			if code := Run([]string{verb, "--help"}, &out, &failures); code != 0 {
--- a/internal/standin/flood/flood_test.go
+++ b/internal/standin/flood/flood_test.go
@@ -1,45 +1,67 @@
 package flood
 
 import (
-	"flag"
-	"os"
-	"strconv"
-	"strings"
 	"testing"
-)
 
-var (
-	out       = flag.String("out", "", "file to which a table is written")
-	partNamed = flag.String("part", "floods", "table to write: floods, faults or peers")
-	waysNamed = flag.String("ways", strings.Join(Ways, ","), "ways to divide slots")
-	loadsOf   = flag.String("loads", "0.5,1,2,5,10", "offered work as parts of capacity")
-	seedOf    = flag.Uint64("seed", 1, "seed of the arrivals")
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
-// TestTable writes a table where -out names a file.
-func TestTable(t *testing.T) {
-	if *out == "" {
-		t.Skip("-out names no file")
-	}
-	selection := Selection{Places: []Place{Consortium, Reparto}, Ways: strings.Split(*waysNamed, ","), Seed: *seedOf}
-	for _, text := range strings.Split(*loadsOf, ",") {
-		load, err := strconv.ParseFloat(text, 64)
-		if err != nil {
-			t.Fatal(err)
+var places = []Place{Consortium, Reparto}
+
+func TestSameScenarioSameResult(t *testing.T) {
+	for _, scenario := range []Scenario{
+		{Place: Reparto, Way: Leases, Rank: 1, Load: 0.5, Seed: 3, Cut: true},
+		{Place: Consortium, Way: Leases, Rank: 2, Load: 0.5, Seed: 3, Failing: 0.5},
+	} {
+		if diff := cmp.Diff(Run(scenario), Run(scenario)); diff != "" {
+			t.Error(diff)
 		}
-		selection.Loads = append(selection.Loads, load)
 	}
-	file, err := os.Create(*out)
-	if err != nil {
-		t.Fatal(err)
+}
+
+// TestUrgentWhileLeastUrgentFloods checks that urgent work stays inside its
+// target, and that the flood costs little of what is useful.
+func TestUrgentWhileLeastUrgentFloods(t *testing.T) {
+	for _, place := range places {
+		calm := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 1, Seed: 1})
+		flooded := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 10, Seed: 1})
+		if share := flooded.Ranks[0].InsideShare(); share < 0.99 {
+			t.Errorf("%s: %.4f of urgent work inside its target", place.Name, share)
+		}
+		if flooded.Useful < 0.9*calm.Useful {
+			t.Errorf("%s: %.3f useful, %.3f at load 1", place.Name, flooded.Useful, calm.Useful)
+		}
+		if flooded.Beyond > 2 {
+			t.Errorf("%s: %d requests beyond the slots", place.Name, flooded.Beyond)
+		}
 	}
-	defer file.Close()
-	for _, part := range Parts {
-		if part.Name != *partNamed {
-			continue
+}
+
+// TestFloorsWhileUrgentFloods checks that each other rank keeps its floor,
+// within 5%, or all that it asks for.
+func TestFloorsWhileUrgentFloods(t *testing.T) {
+	for _, place := range places {
+		flooded := Run(Scenario{Place: place, Way: Leases, Rank: 0, Load: 10, Seed: 1})
+		ranks := Manifest(place).Ranks
+		for r := range model.Rank(len(ranks)) {
+			if held := flooded.HeldBy[r]; held < 0.95*ranks[r].Floor {
+				t.Errorf("%s: %s has %.3f of the slot-time, floor %.2f", place.Name, ranks[r].Name, held, ranks[r].Floor)
+			}
 		}
-		if err := Write(file, part, selection); err != nil {
-			t.Fatal(err)
+	}
+}
+
+// TestFailingDatabase checks that a database that fails altogether costs the
+// others nothing.
+func TestFailingDatabase(t *testing.T) {
+	for _, place := range places {
+		result := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 0.5, Seed: 1, Failing: 1})
+		for r := range result.Ranks {
+			if share := result.Ranks[r].InsideShare(); share < 0.99 {
+				t.Errorf("%s: %.4f of rank %d inside its target", place.Name, share, r)
+			}
 		}
 	}
 }
