--- a/internal/core/rank/lease_holder.go
+++ b/internal/core/rank/lease_holder.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,8 @@
 	// told is the digest of the wants last sent, ranks the set of their ranks:
 	// a rank that wants its first slot is not kept waiting.
 	told, ranks uint64
+	// alone says that the equal share is in use.
+	alone bool
 	// urgent says that leases were given back, or that the arbiter is new.
 	urgent bool
 	leases []*heldLease
@@ -85,7 +88,24 @@
 	if h.idle(now, d, r) != nil {
 		return true
 	}
-	return h.isAlone(now) && d.meter.allows(now, s.equalShare(d), d.ledger.busy())
+	if !h.isAlone(now) {
+		return false
+	}
+	if !h.alone {
+		h.alone = true
+		s.stagger(now, d.group)
+	}
+	return d.meter.allows(now, s.equalShare(d), d.ledger.busy())
+}
+
+// stagger lets the instances that lose the arbiter at the same time begin with
+// their equal shares one after another.
+func (s *Scheduler) stagger(now time.Time, g *group) {
+	place, _ := slices.BinarySearch(s.peers.known, s.self)
+	debt := defaultCost.Seconds() * float64(place) / float64(max(1, len(s.peers.known)))
+	for _, d := range g.databases {
+		d.meter = meter{saved: -debt, since: now, busy: d.ledger.busy()}
+	}
 }
 
 // isAlone reports whether the arbiter has left demands unanswered for long.
@@ -117,7 +137,7 @@
 		return
 	}
 	h.seen = permit.Sequence
-	h.asked = time.Time{}
+	h.asked, h.alone = time.Time{}, false
 	for number, sequence := range h.returned {
 		if sequence <= permit.Seen {
 			delete(h.returned, number)
