Send no permit for a lease that was given back

It only told the holder what the next permit tells as well. The flood table shows the bytes of control.

--- a/internal/core/rank/lease_arbiter.go
+++ b/internal/core/rank/lease_arbiter.go
@@ -131,7 +131,6 @@
 		case l.permit <= p.seen:
 			l.database.fleet.stop(now, l.rank)
 			l.database.fleet.refund(l.rank, p.trip)
-			p.changed = true
 			continue
 		}
 		kept = append(kept, l)
--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -224,6 +224,7 @@
 	// Beyond is the greatest number of requests that were at one database or
 	// on the way to it, beyond its slots.
 	Beyond int
-	// Messages is the number of messages that one instance sent in a second.
-	Messages float64
+	// Messages and Bytes are what one instance sent to its peers in a second,
+	// without the frames around it.
+	Messages, Bytes float64
 }
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -120,6 +122,7 @@
 	result    Result
 	worst     [][]time.Duration
 	messages  int
+	bytes     int
 	// held is the slot-time that each rank had, with the way there and back.
 	held []time.Duration
 	// bins count, for 100 ms of arrival each, what was offered and what was
@@ -375,6 +378,9 @@
 // pass carries a message to a peer.
 func (w *world) pass(i *instance, sent message.SendPeer) {
 	w.messages++
+	if body, err := msgpack.Marshal(sent.Body); err == nil {
+		w.bytes += len(body)
+	}
 	for _, to := range w.instances {
 		if to.id == sent.To && !w.isCut(i, to) {
 			w.after(w.delay(i.zone, to.zone), func() {
@@ -528,6 +534,7 @@
 	w.result.Worth = worth / w.best()
 	w.result.Recovery = w.recovery()
 	w.result.Messages = float64(w.messages) / runEnd.Seconds() / float64(len(w.instances))
+	w.result.Bytes = float64(w.bytes) / runEnd.Seconds() / float64(len(w.instances))
 	return w.result
 }
 
--- a/internal/standin/flood/table.go
+++ b/internal/standin/flood/table.go
@@ -39,7 +39,7 @@
 	for _, declared := range Manifest(Consortium).Ranks {
 		head += declared.Name + " inside\tuseful\tlate\tp99\theld\t"
 	}
-	_, _ = fmt.Fprintln(table, head+"useful\tworth\trecovery\tbeyond\tmessages\t")
+	_, _ = fmt.Fprintln(table, head+"useful\tworth\trecovery\tbeyond\tmessages\tcontrol\t")
 	for _, scenario := range part.Scenarios(selection) {
 		_, _ = fmt.Fprintln(table, line(Run(scenario)))
 	}
@@ -59,7 +59,7 @@
 	if result.Recovery >= 0 {
 		recovery = result.Recovery.String()
 	}
-	return text + fmt.Sprintf("%.3f\t%.3f\t%s\t%d\t%.0f/s\t", result.Useful, result.Worth, recovery, result.Beyond, result.Messages)
+	return text + fmt.Sprintf("%.3f\t%.3f\t%s\t%d\t%.0f/s\t%.0f KB/s\t", result.Useful, result.Worth, recovery, result.Beyond, result.Messages, result.Bytes/1000)
 }
 
 // lateShare returns the part of the offered requests that were answered after
