--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -34,8 +34,10 @@
 	id        model.GroupID
 	databases []*database
 	queues    []*queue
-	share     share
+	leasing   *leasing
 	retries   retries
+	// faded is when the drains of all queues were last brought up to date.
+	faded time.Time
 }
 
 // database is the state of one database.
@@ -71,8 +73,9 @@
 	waiting int
 	bytes   int
 	backlog [accesses][classes]backlog
-	drain   [accesses][classes]usage
-	count   counters
+	// drain is the slot-time used lately, in slot-seconds, as of group.faded.
+	drain [accesses][classes]float64
+	count counters
 }
 
 func newQueue(r model.Rank, width time.Duration) *queue {
@@ -86,6 +89,26 @@
 	return q
 }
 
+// fadeStep is the least time between two fadings.
+const fadeStep = time.Millisecond
+
+// fade brings the drains of all queues up to date.
+func (g *group) fade(now time.Time) {
+	elapsed := now.Sub(g.faded)
+	if elapsed < fadeStep {
+		return
+	}
+	g.faded = now
+	left := decay(elapsed)
+	for _, q := range g.queues {
+		for a := range q.drain {
+			for c := range q.drain[a] {
+				q.drain[a][c] *= left
+			}
+		}
+	}
+}
+
 // maskOf returns the set of the group's databases that the list names.
 func (g *group) maskOf(list []model.DatabaseID) uint64 {
 	mask := uint64(0)
@@ -240,7 +263,7 @@
 // grantRank starts one work of a rank that d may serve. It reports whether it
 // did.
 func (s *Scheduler) grantRank(now time.Time, d *database, q *queue, candidates Candidates) bool {
-	if q.waiting == 0 || !s.allows(now, d, q.rank) {
+	if q.waiting == 0 || !d.group.leasing.holder.allows(s, now, d, q.rank) {
 		return false
 	}
 	for range looksPerPick {
@@ -312,7 +335,7 @@
 		if other == nil || other.group != d.group || other.limiter.state != circuitClosed {
 			continue
 		}
-		if s.isFree(other) && s.allows(now, other, r) {
+		if s.isFree(other) && d.group.leasing.holder.allows(s, now, other, r) {
 			return other
 		}
 	}
@@ -329,7 +352,7 @@
 		d.limiter.probe = it.work.Request
 	}
 	d.ledger.start(now, q.rank)
-	s.started(now, it)
+	d.group.leasing.holder.started(now, it)
 	s.charge(now, q, it, it.cost)
 	q.count.running++
 	s.grants = append(s.grants, Grant{Request: it.work.Request, Database: d.id})
@@ -339,5 +362,7 @@
 func (s *Scheduler) charge(now time.Time, q *queue, it *item, slots time.Duration) {
 	q.caller(it.work.Caller).usage.add(now, slots)
 	q.usage.add(now, slots)
-	q.drain[s.access(it.work.Kind)][it.class].add(now, slots)
+	it.database.group.fade(now)
+	drain := &q.drain[s.access(it.work.Kind)][it.class]
+	*drain = max(0, *drain+slots.Seconds())
 }
--- a/internal/core/rank/share_arbiter.go
+++ b/internal/core/rank/lease_holder.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,8 @@
 
 // Times of leases.
 const (
+	// demandGap is the least time between two demands with news.
+	demandGap = 2 * time.Millisecond
 	// leaseValid is how long a lease holds without renewal.
 	leaseValid = 200 * time.Millisecond
 	// leaseGrace is how much longer the arbiter counts it as used.
@@ -29,80 +32,6 @@
 	arbiterPatience = 100 * time.Millisecond
 )
 
-// arbiterShare lets one instance of the fleet, the group's arbiter, lease the
-// slots of the group's databases to the ranks that wait on all instances.
-// Nothing depends on the arbiter for safety: instances that do not hear from it
-// go on with an equal share.
-type arbiterShare struct {
-	holder holder
-	// bench is nil while another instance is the arbiter.
-	bench *bench
-}
-
-func newArbiterShare() *arbiterShare {
-	return &arbiterShare{holder: holder{returned: map[uint64]uint64{}}}
-}
-
-func (*arbiterShare) isShare() {}
-
-// elect adopts the arbiter that the live instances give.
-func (w *arbiterShare) elect(s *Scheduler, now time.Time, g *group) {
-	arbiter := s.peers.arbiter(g.id)
-	if arbiter == w.holder.arbiter {
-		return
-	}
-	s.note(now, arbiterChanged(g, w.holder.arbiter, arbiter))
-	w.holder.follow(arbiter)
-	w.bench = nil
-	if arbiter == s.self {
-		w.bench = newBench(s.self, now)
-	}
-}
-
-// hear takes in a Demand or Permit.
-func (w *arbiterShare) hear(s *Scheduler, now time.Time, g *group, from model.InstanceID, body message.PeerMessage) {
-	switch body := body.(type) {
-	case message.Demand:
-		if w.bench != nil {
-			w.bench.hear(s, now, g, from, &body)
-		}
-	case message.Permit:
-		if from == w.holder.arbiter {
-			w.holder.hear(s, now, &body)
-		}
-	}
-}
-
-// messages returns the demand of this instance, and the permits that it gives
-// as the arbiter.
-func (w *arbiterShare) messages(s *Scheduler, now time.Time, g *group) []message.SendPeer {
-	var out []message.SendPeer
-	demand, due := w.holder.demand(s, now, g)
-	switch {
-	case due && w.bench != nil:
-		w.bench.hear(s, now, g, s.self, &demand)
-	case due && w.holder.arbiter != "":
-		out = append(out, message.SendPeer{To: w.holder.arbiter, Body: demand})
-	}
-	if w.bench == nil {
-		return out
-	}
-	w.bench.decide(s, now, g)
-	for _, p := range w.bench.petitioners {
-		permit, due := w.bench.permit(now, g, p)
-		switch {
-		case due && p.id == s.self:
-			w.holder.hear(s, now, &permit)
-		case due:
-			out = append(out, message.SendPeer{To: p.id, Body: permit})
-		}
-	}
-	return out
-}
-
-// -----------------------------------------------------------------------------
-// The holder's side.
-
 // holder is the state of an instance that asks the arbiter for leases.
 type holder struct {
 	arbiter  model.InstanceID
@@ -111,8 +40,11 @@
 	// asked is when the oldest unanswered demand was sent, or zero.
 	asked time.Time
 	sent  time.Time
-	// told is the digest of the wants last sent.
-	told uint64
+	// told is the digest of the wants last sent, ranks the set of their ranks:
+	// a rank that wants its first slot is not kept waiting.
+	told, ranks uint64
+	// alone says that the equal share is in use.
+	alone bool
 	// urgent says that leases were given back, or that the arbiter is new.
 	urgent bool
 	leases []*heldLease
@@ -156,7 +88,24 @@
 	if h.idle(now, d, r) != nil {
 		return true
 	}
-	return h.isAlone(now) && d.meter.allows(now, s.equalShare(d), d.ledger.busy())
+	if !h.isAlone(now) {
+		return false
+	}
+	if !h.alone {
+		h.alone = true
+		s.stagger(now, d.group)
+	}
+	return d.meter.allows(now, s.equalShare(d), d.ledger.busy())
+}
+
+// stagger lets the instances that lose the arbiter at the same time begin with
+// their equal shares one after another.
+func (s *Scheduler) stagger(now time.Time, g *group) {
+	place, _ := slices.BinarySearch(s.peers.known, s.self)
+	debt := defaultCost.Seconds() * float64(place) / float64(max(1, len(s.peers.known)))
+	for _, d := range g.databases {
+		d.meter = meter{saved: -debt, since: now, busy: d.ledger.busy()}
+	}
 }
 
 // isAlone reports whether the arbiter has left demands unanswered for long.
@@ -188,7 +137,7 @@
 		return
 	}
 	h.seen = permit.Sequence
-	h.asked = time.Time{}
+	h.asked, h.alone = time.Time{}, false
 	for number, sequence := range h.returned {
 		if sequence <= permit.Seen {
 			delete(h.returned, number)
@@ -247,12 +196,13 @@
 	told := digest(now, wants, s.limits.Slots)
 	elapsed := now.Sub(h.sent)
 	active := len(wants) > 0 || len(h.leases) > 0
-	due := h.urgent || (told != h.told && elapsed >= demandGap) || (active && elapsed >= permitKeep)
-	if !due {
+	ranks := ranksOf(wants)
+	isNew := ranks&^h.ranks != 0 || (told != h.told && (elapsed >= demandGap || h.arbiter == s.self))
+	if !h.urgent && !isNew && (!active || elapsed < permitKeep) {
 		return message.Demand{}, false
 	}
 	h.sequence++
-	h.sent, h.told, h.urgent = now, told, false
+	h.sent, h.told, h.ranks, h.urgent = now, told, ranks, false
 	if len(wants) > 0 && h.asked.IsZero() {
 		h.asked = now
 	}
@@ -267,6 +217,15 @@
 	return demand, true
 }
 
+// ranksOf returns the set of ranks that want slots.
+func ranksOf(wants []message.Want) uint64 {
+	ranks := uint64(0)
+	for _, want := range wants {
+		ranks |= 1 << want.Rank
+	}
+	return ranks
+}
+
 // digest tells whether wants differ in a way that matters to the arbiter.
 func digest(now time.Time, wants []message.Want, slots int) uint64 {
 	const coarse = 10 * time.Millisecond
--- a/internal/core/rank/limit.go
+++ b/internal/core/rank/limit.go
@@ -27,11 +27,11 @@
 	limitFactor = 0.5
 	limitStep   = 0.1
 	// limitSamples is the number of answers between two decreases.
-	limitSamples = 5
-	// limitWeight is the weight of the newest answer in the slowdown,
-	// failWeight its weight in the share of failures.
-	limitWeight = 0.25
-	failWeight  = 0.1
+	limitSamples = 10
+	// limitWeight is the weight of the newest answer in the slowdown and in the
+	// share of failures, timeWeight its weight in the mean time of its kind.
+	limitWeight = 0.1
+	timeWeight  = 0.05
 	// baseRises is the part by which the remembered best time of a kind rises
 	// with each answer towards what is measured.
 	baseRises = 0.001
@@ -92,7 +92,7 @@
 		known = &kindTime{mean: sample, best: sample}
 		l.times[kind] = known
 	}
-	known.mean += limitWeight * (sample - known.mean)
+	known.mean += timeWeight * (sample - known.mean)
 	known.best = min(known.mean, known.best+baseRises*(known.mean-known.best))
 	return known
 }
@@ -174,7 +174,7 @@
 	}
 	l.samples++
 	l.ratio += limitWeight * (ratio - l.ratio)
-	l.fails += failWeight * (failed - l.fails)
+	l.fails += limitWeight * (failed - l.fails)
 	if l.probe == it.work.Request {
 		s.probed(now, d, ending.Failed || ratio > slowRatio, ending.Failed)
 		return
@@ -253,10 +253,23 @@
 // -----------------------------------------------------------------------------
 // Connections.
 
+// joinTime is how long an instance that has not met any other one takes itself
+// for a newcomer whose peers have not been heard yet.
+const joinTime = 3 * time.Second
+
+// isNewcomer reports whether there may be others that were not heard yet.
+func (s *Scheduler) isNewcomer() bool {
+	return len(s.peers.known) <= 1 && s.now.Sub(s.born) < joinTime
+}
+
 // Connections returns the connections to a database that this instance may
-// have open. One share more than there are known instances is counted, so that
-// an instance that joins does not take the total above the limit.
+// have open, at least one. One share more than there are known instances is
+// counted, and a newcomer has one connection only, so that an instance that
+// joins does not take the total above the limit.
 func (s *Scheduler) Connections(model.DatabaseID) int {
+	if s.isNewcomer() {
+		return 1
+	}
 	budget := max(0, s.limits.Connections-s.limits.Reserve)
 	return max(1, budget/(len(s.peers.known)+1))
 }
