Use the scheduler's budgets, retries, report and log lines; sharpen the logbook

Cause: a record's evidence was overwritten while its own steward fenced (seen: 'fenced at term 2' instead of the lost stream); 'too few databases can be fenced' was logged although a majority was fenced in the same millisecond; status showed nothing by rank; a committed transaction whose answer was lost was reported as unknown although a COMMIT's answer says no more than that. Change: evidence stands as first suspected; the line waits a second; report, connection budgets, retry budget and notes come from the scheduler; such a transaction is acknowledged.

--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -85,6 +85,10 @@
 	lastAsk   uint64
 	lastNonce uint64
 	draws     uint64
+	// published are the databases as last told to the edges; republish is when
+	// they are compared next.
+	published []message.DatabaseTarget
+	republish time.Time
 	// learned says that something other than a request has arrived since the
 	// control systems ran at controlled.
 	learned    bool
--- a/internal/core/engine/report.go
+++ b/internal/core/engine/report.go
@@ -28,7 +28,7 @@
 	report := status.Status{
 		Instance: string(e.options.Instance), Zone: string(e.options.Zone),
 		Manifest: e.declared.number, Digest: e.declared.digest, Draining: e.drain.started,
-		Sessions: len(e.sessions), Requests: len(e.requests.byID),
+		Sessions: len(e.sessions), Requests: len(e.requests.byID), Ranks: e.scheduler.Report(e.now),
 	}
 	for _, g := range e.groups {
 		if only == "" || only == string(g.name) {
--- a/internal/core/engine/steward_detect.go
+++ b/internal/core/engine/steward_detect.go
@@ -30,12 +30,12 @@
 	if e.now.Sub(st.lost) < streamLostAfter {
 		return
 	}
-	st.evidence = evidence
-	st.reason = reason
 	if !st.suspected.IsZero() {
 		return
 	}
 	st.suspected = e.now
+	st.evidence = evidence
+	st.reason = reason
 	e.note(event.PrimarySuspected,
 		event.F("group", g.name), event.F("primary", g.primaryName()), event.F("term", g.term),
 		event.F("evidence", fmt.Sprint(evidence)))
--- a/internal/core/engine/steward_promote.go
+++ b/internal/core/engine/steward_promote.go
@@ -33,6 +33,9 @@
 	if st.step != conductFence {
 		return
 	}
+	if e.now.Sub(st.claimed) >= controlTimeout {
+		e.waitFor(g, "too few databases can be fenced")
+	}
 	asked := map[model.DatabaseID]bool{}
 	for _, d := range st.fences {
 		asked[d.name] = true
@@ -80,7 +83,6 @@
 		return
 	}
 	if answered.Err != message.AskOK || answered.Status.Term != st.claim.Term {
-		e.waitFor(g, "too few databases can be fenced")
 		return
 	}
 	st.fenced[d.name] = answered.Status
--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -16,6 +16,9 @@
 	// unreachablePause is the time for which a database that could not be
 	// reached gets no work.
 	unreachablePause = 300 * time.Millisecond
+	// budgetPause is the pause before another try while the group's budget of
+	// retries is spent: the request waits on, without adding to a storm.
+	budgetPause = 300 * time.Millisecond
 	// termPause is the pause before another try after a database was found in
 	// another term, in which its status is asked for.
 	termPause = 5 * time.Millisecond
@@ -139,6 +142,9 @@
 		e.refuseRequest(r, rank.Refusal{Why: r.why, Detail: "no attempt could be started inside the deadline"})
 		return
 	}
+	if !e.scheduler.AllowRetry(e.now, r.group.name) {
+		pause = max(pause, e.jitter(budgetPause))
+	}
 	e.again(r, ending, pause)
 }
 
@@ -266,7 +272,8 @@
 		event.F("request", r.id), event.F("group", r.group.name), event.F("key", r.key),
 		event.F("committed", r.committed), event.F("position", r.position.String()))
 	switch {
-	case r.committed && r.answered:
+	case r.committed && (r.answered || r.transaction):
+		// The answer to a COMMIT says no more than that.
 		e.acknowledge(r)
 	case r.committed:
 		r.session.raise(r.position, e.now)
--- a/internal/core/engine/system_manifest.go
+++ b/internal/core/engine/system_manifest.go
@@ -17,6 +17,7 @@
 	s := &e.declared
 	e.runSubmits()
 	e.dropRemovedWhenDue()
+	e.republishDatabases()
 	if s.rowAsk != 0 || s.objectAsk != 0 || e.now.Before(s.nextRead) {
 		return
 	}
@@ -223,14 +224,6 @@
 	g.refreshProof()
 }
 
-// connectionShare returns the number of connections that this instance may open
-// to each database.
-func (e *Engine) connectionShare() int {
-	limits := e.declared.current.Limits
-	sharers := len(e.instances.alive()) + 1
-	return max(1, (limits.Connections-limits.Reserve)/sharers)
-}
-
 // publishDatabases tells the edges which databases exist.
 func (e *Engine) publishDatabases() {
 	var targets []message.DatabaseTarget
@@ -238,9 +231,29 @@
 		for _, d := range g.databases {
 			targets = append(targets, message.DatabaseTarget{
 				Database: d.name, Group: g.name, Address: d.declared.Address,
-				Connections: e.connectionShare(), Leaving: d.isLeaving(),
+				Connections: e.scheduler.Connections(d.name), Leaving: d.isLeaving(),
 			})
 		}
 	}
+	e.published = targets
 	e.do(message.SetDatabases{Databases: targets})
 }
+
+// republishDatabases tells the edges again where a share of connections or a
+// leaving database has changed since.
+func (e *Engine) republishDatabases() {
+	if e.now.Before(e.republish) {
+		return
+	}
+	e.republish = e.now.Add(probeInterval)
+	for _, target := range e.published {
+		d, found := e.databases[target.Database]
+		if !found {
+			continue
+		}
+		if target.Connections != e.scheduler.Connections(d.name) || target.Leaving != d.isLeaving() {
+			e.publishDatabases()
+			return
+		}
+	}
+}
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -42,6 +42,9 @@
 	for _, send := range e.scheduler.Messages(e.now) {
 		e.do(send)
 	}
+	for _, note := range e.scheduler.Notes() {
+		e.do(note)
+	}
 }
 
 // probeWanted asks at once for the sample that a waiting read wants.
