Let the fake edge look at a silent connection more than once

Cause: the fake checked a silent connection once, so that a write sent into a cut of 5 s had no end before its deadline; the real edge looks ten times.

--- a/internal/core/engine/fake_caller_test.go
+++ b/internal/core/engine/fake_caller_test.go
@@ -259,13 +259,19 @@
 	})
 }
 
-// suspect stands for the check of a silent connection by a new one.
+// suspect stands for the check of a silent connection by a new one, repeated
+// while that one does not work either.
 func (n *node) suspect(run *attempt, d *fakeDatabase) {
 	n.world.after(run.dispatch.Suspect, func() {
-		if d.mute[n.name] && !d.dead && !d.frozen {
-			delete(d.mute, n.name)
-			n.finish(run, message.AnswerLost{Committing: run.isCommitting(), Silent: true})
+		if run.ended {
+			return
+		}
+		if d.dead || d.frozen || !n.world.linked(n.name, string(d.name)) {
+			n.suspect(run, d)
+			return
 		}
+		delete(d.mute, n.name)
+		n.finish(run, message.AnswerLost{Committing: run.isCommitting(), Silent: true})
 	})
 }
 
