Let reads of stale-tolerant kinds and roaming readers stay at replicas

Cause: a read that the primary served raised the session's floor to the newest position, so that at a lag of 200 ms the next one went there too; and a session that roams and only reads had no token, so that each read waited for a barrier. Ruled out: the estimate of lag, the order of candidates. Change: reads that bear data of a stated age are held to the session's own writes alone; the answer after a barrier brings a token. A commit proven after its answer was lost is acknowledged to the edge, which says so with the new token.

--- a/internal/core/engine/fake_caller_test.go
+++ b/internal/core/engine/fake_caller_test.go
@@ -18,6 +18,8 @@
 	resultFailed  result = "failed, nothing committed"
 	resultUnknown result = "outcome unknown"
 	resultCut     result = "connection lost"
+	// resultCommitted is reported with the SQLSTATE of an unknown outcome.
+	resultCommitted result = "committed, answer lost"
 )
 
 // fakeCaller is one request of one session, and what came of it.
@@ -51,6 +53,7 @@
 	held     model.Position
 	rows     []string
 	ended    bool
+	lost     bool
 }
 
 // call opens a session at an instance, with a token or none, and sends one
@@ -113,7 +116,7 @@
 	case message.Acknowledge:
 		if c := n.callers[a.Request]; c != nil {
 			c.token = a.Token
-			c.end(resultDone, "")
+			c.end(n.running[a.Request].acknowledged(), "")
 		}
 	case message.Refuse:
 		if c := n.callers[a.Request]; c != nil {
@@ -139,11 +142,21 @@
 	return !a.caller.transaction || a.step == "commit"
 }
 
+// acknowledged is what a caller gets of a commit: its answer, or, where that was
+// lost, the word that the work is committed.
+func (a *attempt) acknowledged() result {
+	if a.lost && !a.caller.transaction {
+		return resultCommitted
+	}
+	return resultDone
+}
+
 // finish ends an attempt towards the engine, once.
 func (n *node) finish(run *attempt, answer message.Answer) {
 	if run.ended {
 		return
 	}
+	_, run.lost = answer.(message.AnswerLost)
 	run.ended = true
 	n.post(message.AnswerEnded{Request: run.dispatch.Request, Attempt: run.dispatch.Attempt, Answer: answer, Elapsed: workTime})
 }
--- a/internal/core/engine/history_test.go
+++ b/internal/core/engine/history_test.go
@@ -78,7 +78,7 @@
 	if c.kind == "post" {
 		count := held[c.value]
 		switch c.result {
-		case resultDone:
+		case resultDone, resultCommitted:
 			if count != 1 {
 				add("acknowledged, but held %d times", count)
 			}
--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -89,7 +89,7 @@
 	if r.database != r.group.primary {
 		r.database.lag = min(r.database.lag, e.now.Sub(r.minimumAt))
 	}
-	r.session.raise(answer.Position, e.now)
+	r.session.seen.raise(answer.Position, e.now)
 	e.forget(r)
 }
 
@@ -272,12 +272,9 @@
 		event.F("request", r.id), event.F("group", r.group.name), event.F("key", r.key),
 		event.F("committed", r.committed), event.F("position", r.position.String()))
 	switch {
-	case r.committed && (r.answered || r.transaction):
-		// The answer to a COMMIT says no more than that.
-		e.acknowledge(r)
 	case r.committed:
-		r.session.raise(r.position, e.now)
-		e.abandon(r, true, "the work is committed, but its answer was lost")
+		// Where the answer was lost, the edge tells the caller so, with the token.
+		e.acknowledge(r)
 	case r.isRepeatable() && e.now.Before(r.deadline):
 		e.repeat(r)
 	default:
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -116,7 +116,8 @@
 // false while the sample that this takes is still to come.
 func (e *Engine) findMinimum(r *request) bool {
 	s := r.session
-	r.minimum, r.minimumAt = s.floor, s.floorAt
+	from := r.floor()
+	r.minimum, r.minimumAt = from.position, from.at
 	if r.minimum.Less(r.token) {
 		r.minimum, r.minimumAt = r.token, r.arrived
 	}
@@ -133,7 +134,8 @@
 		r.minimum, r.minimumAt = found.position, found.at
 	}
 	if !s.anchored && !since.Before(r.arrived) {
-		s.raise(found.position, found.at)
+		s.wrote(found.position, found.at)
+		r.given = model.Token{Group: r.group.name, Position: s.written.position}
 		s.anchored = !s.roaming
 	}
 	return true
@@ -259,6 +261,7 @@
 		Term:     r.term,
 		Key:      key,
 		Minimum:  r.minimum,
+		Token:    r.given,
 		Expires:  r.deadline,
 		Suspect:  silentAfter,
 	})
--- a/internal/core/engine/system_session.go
+++ b/internal/core/engine/system_session.go
@@ -25,8 +25,8 @@
 		name:     opened.Group,
 		group:    e.byGroup[opened.Group],
 		caller:   opened.Caller,
-		floor:    opened.Position,
-		floorAt:  e.now,
+		written:  floor{position: opened.Position, at: e.now},
+		seen:     floor{position: opened.Position, at: e.now},
 		anchored: !opened.Position.IsZero(),
 		roaming:  opened.Roaming,
 	}
@@ -164,11 +164,11 @@
 // acknowledge lets the answer of a commit go to the caller.
 func (e *Engine) acknowledge(r *request) {
 	e.forget(r)
-	r.session.raise(r.position, e.now)
+	r.session.wrote(r.position, e.now)
 	r.session.anchored = true
 	e.note(event.WriteAcknowledged,
 		event.F("request", r.id), event.F("group", r.group.name), event.F("position", r.position.String()))
-	token := model.Token{Group: r.group.name, Position: r.session.floor}
+	token := model.Token{Group: r.group.name, Position: r.session.written.position}
 	e.do(message.Acknowledge{Request: r.id, Attempt: r.attempt, Token: token})
 }
 
--- a/internal/core/engine/table_request.go
+++ b/internal/core/engine/table_request.go
@@ -20,11 +20,11 @@
 	name   model.GroupID
 	group  *group
 	caller model.CallerID
-	// floor is the oldest state that the session may see, known to exist
-	// since floorAt.
-	floor   model.Position
-	floorAt time.Time
-	// anchored says that floor covers all that the caller wrote before it
+	// written covers what the session has written; seen covers that and what it
+	// has read. Reads that bear data of a stated age need not show all that the
+	// session has read before.
+	written, seen floor
+	// anchored says that written covers all that the caller wrote before it
 	// connected: it handed a token, or a barrier has been passed.
 	anchored bool
 	roaming  bool
@@ -33,12 +33,33 @@
 	requests map[model.RequestID]*request
 }
 
-// raise moves the session's floor up to position.
-func (s *session) raise(position model.Position, at time.Time) {
-	if s.floor.Less(position) {
-		s.floor = position
-		s.floorAt = at
+// floor is the oldest state that a read may show, known to exist since at.
+type floor struct {
+	position model.Position
+	at       time.Time
+}
+
+// raise moves the floor up to position.
+func (f *floor) raise(position model.Position, at time.Time) {
+	if f.position.Less(position) {
+		f.position = position
+		f.at = at
+	}
+}
+
+// wrote raises both floors: position covers a write of the session.
+func (s *session) wrote(position model.Position, at time.Time) {
+	s.written.raise(position, at)
+	s.seen.raise(position, at)
+}
+
+// floor returns the floor for a read: of what the session has written where the
+// read bears data of a stated age, else of all that it has seen.
+func (r *request) floor() floor {
+	if r.kind.Bounded && r.kind.Stale >= barrierBound {
+		return r.session.written
 	}
+	return r.session.seen
 }
 
 // -----------------------------------------------------------------------------
@@ -87,6 +108,8 @@
 	// since minimumAt.
 	minimum   model.Position
 	minimumAt time.Time
+	// given is the token that the answer brings the caller after a barrier.
+	given model.Token
 	// behind counts answers of replicas that lagged too far.
 	behind int
 	// position is that of the commit, or of the settling answer.
--- a/internal/core/message/action_caller.go
+++ b/internal/core/message/action_caller.go
@@ -26,6 +26,9 @@
 	// Minimum is the oldest position whose state the caller may see. The
 	// edge compares the answer's own position before the first row.
 	Minimum model.Position
+	// Token, where it is set, is given to the caller with the answer: a barrier
+	// has shown how far the session's earlier writes reach.
+	Token model.Token
 	// Expires is when the caller's deadline ends.
 	Expires time.Time
 	// Suspect is the time after which a silent connection is checked by
@@ -48,7 +51,8 @@
 }
 
 // Acknowledge lets the answer of a commit go to the caller, with the session's
-// new token.
+// new token. Where the connection was lost with the answer, the edge tells the
+// caller that the work is committed and its answer is lost.
 type Acknowledge struct {
 	Request model.RequestID
 	Attempt model.Attempt
--- a/internal/edge/caller/conclude.go
+++ b/internal/edge/caller/conclude.go
@@ -84,6 +84,10 @@
 
 // passOn sends the rest of an answer that nothing holds back any more.
 func (s *session) passOn(r *request, end resultWhole) error {
+	if !r.dispatch.Token.Position.IsZero() {
+		s.giveToken(r.dispatch.Token)
+		r.dispatch.Token = model.Token{}
+	}
 	s.ready(r.status)
 	err := s.flush()
 	r.passed = true
--- a/internal/standin/drill/experiment_replicas.go
+++ b/internal/standin/drill/experiment_replicas.go
@@ -25,16 +25,24 @@
 func (r *Replicas) Run(ctx context.Context, out io.Writer, binaries string) error {
 	row(out, "replicas: %d instances, %.0f reads/s and %.0f writes/s by roaming sessions, %.0f s each",
 		r.Instances, r.Reads, r.Writes, r.Seconds)
-	row(out, "%-6s %7s %9s %9s %9s %7s %11s", "lag", "reads", "replicas", "p50 ms", "p99 ms", "checks", "violations")
+	row(out, "%-6s %-22s %7s %9s %9s %9s %7s %11s", "lag", "kind", "reads", "replicas", "p50 ms", "p99 ms", "checks", "violations")
 	for _, lag := range r.Lags {
-		if err := r.runLag(ctx, out, binaries, lag); err != nil {
-			return err
+		for _, kind := range replicaKinds {
+			if err := r.runLag(ctx, out, binaries, lag, kind.name, kind.help); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
-func (r *Replicas) runLag(ctx context.Context, out io.Writer, binaries string, lag time.Duration) error {
+// replicaKinds are the kinds of reads that are measured.
+var replicaKinds = []struct{ name, help string }{
+	{"check", "no bound"},
+	{"pull", "bears 10 s"},
+}
+
+func (r *Replicas) runLag(ctx context.Context, out io.Writer, binaries string, lag time.Duration, kind, help string) error {
 	d, err := start(ctx, binaries, r.Instances, "--lag", lag.String())
 	if err != nil {
 		return err
@@ -43,7 +51,7 @@
 	report, err := load.Run(ctx, load.Options{
 		Addresses: callerAddresses(d), Group: group, User: "drill", Connections: 24, Roam: true, Checkers: 4,
 		Kinds: []load.Kind{
-			{Name: "check", Access: model.AccessRead, Rate: r.Reads},
+			{Name: kind, Access: model.AccessRead, Rate: r.Reads},
 			{Name: "post", Access: model.AccessWrite, Rate: r.Writes},
 		},
 		Duration: time.Duration(r.Seconds * float64(time.Second)), Patience: 15 * time.Second, Seed: 1,
@@ -56,8 +64,8 @@
 		return err
 	}
 	reads := counts["replica"] + counts["primary"]
-	row(out, "%-6s %7d %9s %9.2f %9.2f %7d %11d", lag, reads, fmt.Sprintf("%.1f%%", share(counts["replica"], reads)),
-		report.Kinds["check"].Latency.P50, report.Kinds["check"].Latency.P99,
+	row(out, "%-6s %-22s %7d %9s %9.2f %9.2f %7d %11d", lag, kind+", "+help, reads, fmt.Sprintf("%.1f%%", share(counts["replica"], reads)),
+		report.Kinds[kind].Latency.P50, report.Kinds[kind].Latency.P99,
 		report.Check.Checks, report.Check.Violations)
 	return nil
 }
