--- a/internal/core/rank/decision_test.go
+++ b/internal/core/rank/decision_test.go
@@ -30,7 +30,7 @@
 //	i finish 7 took=20ms             ends work well; fail ends it badly
 //	i requeue 7                      puts failed work back
 //	i expired, i retry, i connections, i withdraw 7, i notes
-//	pass                             delivers what the instances said
+//	pass                             delivers what the instances sent
 //	drop                             loses it
 func TestDecisions(t *testing.T) {
 	scripts, err := filepath.Glob("testdata/*.script")
@@ -43,7 +43,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			got := (&play{t: t, now: start, cast: map[string]*Scheduler{}, databases: map[string][]model.DatabaseID{}}).run(string(lines))
+			got := (&scriptRun{t: t, now: start, instances: map[string]*Scheduler{}, databases: map[string][]model.DatabaseID{}}).run(string(lines))
 			golden := strings.TrimSuffix(script, ".script") + ".golden"
 			if *update {
 				if err := os.WriteFile(golden, []byte(got), 0o600); err != nil {
@@ -61,22 +61,22 @@
 	}
 }
 
-// play is the state of a script.
-type play struct {
-	t    *testing.T
-	now  time.Time
-	cast map[string]*Scheduler
-	said []saying
+// scriptRun is the state of a script.
+type scriptRun struct {
+	t         *testing.T
+	now       time.Time
+	instances map[string]*Scheduler
+	outbox    []envelope
 	// databases are the candidates last named for each instance.
 	databases map[string][]model.DatabaseID
 }
 
-type saying struct {
+type envelope struct {
 	from string
 	sent message.SendPeer
 }
 
-func (p *play) run(script string) string {
+func (p *scriptRun) run(script string) string {
 	var out strings.Builder
 	for _, text := range strings.Split(strings.TrimSpace(script), "\n") {
 		words := strings.Fields(text)
@@ -90,26 +90,26 @@
 }
 
 // line runs one line and returns what came of it.
-func (p *play) line(words []string) string {
+func (p *scriptRun) line(words []string) string {
 	switch words[0] {
 	case "at":
 		p.now = after(p.span(words[1]))
 	case "start":
 		for _, name := range words[1:] {
-			p.cast[name] = NewScheduler(model.InstanceID(name))
-			p.cast[name].Configure(p.now, testManifest())
+			p.instances[name] = NewScheduler(model.InstanceID(name))
+			p.instances[name].Configure(p.now, testManifest())
 		}
 		for _, name := range words[1:] {
-			p.cast[name].SetPeers(p.now, ids(words[1:]))
+			p.instances[name].SetPeers(p.now, ids(words[1:]))
 		}
 	case "peers":
-		p.cast[words[1]].SetPeers(p.now, ids(words[1:]))
+		p.instances[words[1]].SetPeers(p.now, ids(words[1:]))
 	case "pass":
 		return p.pass()
 	case "drop":
-		p.said = nil
+		p.outbox = nil
 	default:
-		return p.call(p.cast[words[0]], words)
+		return p.call(p.instances[words[0]], words)
 	}
 	return ""
 }
@@ -122,7 +122,7 @@
 	return all
 }
 
-func (p *play) span(text string) time.Duration {
+func (p *scriptRun) span(text string) time.Duration {
 	span, err := time.ParseDuration(text)
 	if err != nil {
 		p.t.Fatal(err)
@@ -131,15 +131,15 @@
 }
 
 // pass delivers messages until nobody has more to say.
-func (p *play) pass() string {
+func (p *scriptRun) pass() string {
 	var out []string
-	for len(p.said) > 0 {
-		said := p.said
-		p.said = nil
-		for _, s := range said {
+	for len(p.outbox) > 0 {
+		outbox := p.outbox
+		p.outbox = nil
+		for _, s := range outbox {
 			out = append(out, fmt.Sprintf("%s>%s %s", s.from, s.sent.To, strings.TrimPrefix(fmt.Sprintf("%T", s.sent.Body), "message.")))
 			to := string(s.sent.To)
-			p.cast[to].Hear(p.now, model.InstanceID(s.from), s.sent.Body)
+			p.instances[to].Hear(p.now, model.InstanceID(s.from), s.sent.Body)
 			out = append(out, p.grant(to)...)
 		}
 	}
@@ -147,23 +147,23 @@
 }
 
 // grant lets an instance grant and speak.
-func (p *play) grant(name string) []string {
+func (p *scriptRun) grant(name string) []string {
 	var out []string
-	for _, grant := range p.cast[name].Grant(p.now, on(p.databases[name]...)) {
+	for _, grant := range p.instances[name].Grant(p.now, on(p.databases[name]...)) {
 		out = append(out, fmt.Sprintf("%s runs %d on %s", name, grant.Request, grant.Database))
 	}
 	p.gather(name)
 	return out
 }
 
-func (p *play) gather(name string) {
-	for _, sent := range p.cast[name].Messages(p.now) {
-		p.said = append(p.said, saying{from: name, sent: sent})
+func (p *scriptRun) gather(name string) {
+	for _, sent := range p.instances[name].Messages(p.now) {
+		p.outbox = append(p.outbox, envelope{from: name, sent: sent})
 	}
 }
 
 // call runs one call of an instance.
-func (p *play) call(s *Scheduler, words []string) string {
+func (p *scriptRun) call(s *Scheduler, words []string) string {
 	switch words[1] {
 	case "offer":
 		return p.offer(s, words)
@@ -205,7 +205,7 @@
 	return ""
 }
 
-func (p *play) id(text string) model.RequestID {
+func (p *scriptRun) id(text string) model.RequestID {
 	id, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		p.t.Fatal(err)
@@ -214,7 +214,7 @@
 }
 
 // offer offers one work, or several of following numbers.
-func (p *play) offer(s *Scheduler, words []string) string {
+func (p *scriptRun) offer(s *Scheduler, words []string) string {
 	w := work(p.id(words[2]), 0, time.Second)
 	w.Arrived, w.Deadline = p.now, p.now.Add(time.Second)
 	times := 1
--- a/internal/core/rank/lease_arbiter.go
+++ b/internal/core/rank/lease_arbiter.go
@@ -32,9 +32,9 @@
 	// permits counts the permits sent to the instance.
 	permits uint64
 	sent    time.Time
-	// trip is the shortest time lately from a permit to the demand that has
+	// roundTrip is the shortest time lately from a permit to the demand that has
 	// seen it: the part of a lease in which nothing can run.
-	trip time.Duration
+	roundTrip time.Duration
 	// changed says that the instance's leases are not what it was told.
 	changed bool
 }
@@ -100,11 +100,11 @@
 	a.settle(s, now, p, demand.Held)
 }
 
-// maxTrip bounds what is taken for the way there and back, and tripRises is the
+// maxRoundTrip bounds what is taken for the way there and back, and roundTripRises is the
 // inverse of the part by which it rises with each sample.
 const (
-	maxTrip   = 10 * time.Millisecond
-	tripRises = 64
+	maxRoundTrip   = 10 * time.Millisecond
+	roundTripRises = 64
 )
 
 // measure takes in how long the newest permit took to be seen.
@@ -112,10 +112,10 @@
 	if seen != p.permits || p.seen == seen {
 		return
 	}
-	p.trip += p.trip / tripRises
-	sample := min(now.Sub(p.sent), maxTrip)
-	if p.trip == 0 || sample < p.trip {
-		p.trip = sample
+	p.roundTrip += p.roundTrip / roundTripRises
+	sample := min(now.Sub(p.sent), maxRoundTrip)
+	if p.roundTrip == 0 || sample < p.roundTrip {
+		p.roundTrip = sample
 	}
 }
 
@@ -130,7 +130,7 @@
 			l.expires = now.Add(leaseValid + leaseGrace)
 		case l.permit <= p.seen:
 			l.database.fleet.stop(now, l.rank)
-			l.database.fleet.refund(l.rank, p.trip)
+			l.database.fleet.refund(l.rank, p.roundTrip)
 			continue
 		}
 		kept = append(kept, l)
--- a/internal/core/rank/lease_test.go
+++ b/internal/core/rank/lease_test.go
@@ -13,10 +13,10 @@
 
 // fleet is several schedulers with delayed messages between them.
 type fleet struct {
-	now     time.Time
-	members []*member
-	links   []*parcel
-	next    model.RequestID
+	now        time.Time
+	members    []*member
+	deliveries []*delivery
+	next       model.RequestID
 	// cut tells whether no message passes between two members.
 	cut func(a, b model.InstanceID) bool
 }
@@ -24,19 +24,19 @@
 type member struct {
 	id      model.InstanceID
 	s       *Scheduler
-	running []flight
+	running []execution
 	// served counts what ended by rank.
 	served [3]int
 }
 
-type flight struct {
+type execution struct {
 	work     Work
 	database model.DatabaseID
 	ends     time.Time
 }
 
-// parcel is a message on its way.
-type parcel struct {
+// delivery is a message on its way.
+type delivery struct {
 	from, to model.InstanceID
 	body     message.PeerMessage
 	arrives  time.Time
@@ -62,20 +62,20 @@
 // service time of each work come from the functions.
 func (f *fleet) step(elapsed time.Duration, delay, service func() time.Duration, candidates Candidates) {
 	f.now = f.now.Add(elapsed)
-	kept := f.links[:0]
-	for _, p := range f.links {
+	kept := f.deliveries[:0]
+	for _, p := range f.deliveries {
 		if p.arrives.After(f.now) {
 			kept = append(kept, p)
 			continue
 		}
 		f.member(p.to).s.Hear(f.now, p.from, p.body)
 	}
-	f.links = kept
+	f.deliveries = kept
 	for _, m := range f.members {
 		m.finish(f.now)
 		m.s.Expired(f.now)
 		for _, grant := range m.s.Grant(f.now, candidates) {
-			m.running = append(m.running, flight{
+			m.running = append(m.running, execution{
 				work: m.s.running[grant.Request].work, database: grant.Database, ends: f.now.Add(service()),
 			})
 		}
@@ -83,7 +83,7 @@
 			if f.cut != nil && f.cut(m.id, sent.To) {
 				continue
 			}
-			f.links = append(f.links, &parcel{from: m.id, to: sent.To, body: sent.Body, arrives: f.arrival(m.id, sent.To, delay())})
+			f.deliveries = append(f.deliveries, &delivery{from: m.id, to: sent.To, body: sent.Body, arrives: f.arrival(m.id, sent.To, delay())})
 		}
 	}
 }
@@ -91,7 +91,7 @@
 // arrival keeps the order of a link.
 func (f *fleet) arrival(from, to model.InstanceID, delay time.Duration) time.Time {
 	at := f.now.Add(delay)
-	for _, p := range f.links {
+	for _, p := range f.deliveries {
 		if p.from == from && p.to == to && p.arrives.After(at) {
 			at = p.arrives
 		}
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -24,13 +24,13 @@
 	run   func()
 }
 
-type agenda []event
+type eventQueue []event
 
 // Len implements heap.Interface.
-func (a agenda) Len() int { return len(a) }
+func (a eventQueue) Len() int { return len(a) }
 
 // Less implements heap.Interface.
-func (a agenda) Less(i, j int) bool {
+func (a eventQueue) Less(i, j int) bool {
 	if a[i].at != a[j].at {
 		return a[i].at < a[j].at
 	}
@@ -38,13 +38,13 @@
 }
 
 // Swap implements heap.Interface.
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a eventQueue) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
 
 // Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
+func (a *eventQueue) Push(x any) { *a = append(*a, x.(event)) }
 
 // Pop implements heap.Interface.
-func (a *agenda) Pop() any {
+func (a *eventQueue) Pop() any {
 	last := len(*a) - 1
 	e := (*a)[last]
 	(*a)[last] = event{}
@@ -108,13 +108,13 @@
 	req  *request
 }
 
-// world is the state of a run.
-type world struct {
+// simulation is the state of a run.
+type simulation struct {
 	scenario  Scenario
 	manifest  *manifest.Manifest
 	random    *rand.Rand
 	now       time.Duration
-	agenda    agenda
+	events    eventQueue
 	order     uint64
 	instances []*instance
 	databases []*database
@@ -137,56 +137,56 @@
 
 // Run runs a scenario.
 func Run(scenario Scenario) Result {
-	w := newWorld(scenario)
-	for _, i := range w.instances {
-		w.tick(i)
+	sim := newSimulation(scenario)
+	for _, i := range sim.instances {
+		sim.tick(i)
 	}
 	for r := range loads {
-		w.arrive(model.Rank(r))
+		sim.arrive(model.Rank(r))
 	}
-	w.after(floodStart, func() { w.breakDatabase() })
-	w.after(floodEnd, func() { w.mendDatabase() })
+	sim.after(floodStart, func() { sim.breakDatabase() })
+	sim.after(floodEnd, func() { sim.mendDatabase() })
 	if scenario.Crash {
-		w.after(floodStart, func() { w.crash() })
+		sim.after(floodStart, func() { sim.crash() })
 	}
 	if scenario.Cut || scenario.Crash {
-		w.after(floodStart+noticeTime, func() { w.notice() })
-		w.after(floodEnd+noticeTime, func() { w.notice() })
+		sim.after(floodStart+noticeTime, func() { sim.notice() })
+		sim.after(floodEnd+noticeTime, func() { sim.notice() })
 	}
-	for len(w.agenda) > 0 && w.agenda[0].at < runEnd {
-		e := heap.Pop(&w.agenda).(event)
-		w.now = e.at
+	for len(sim.events) > 0 && sim.events[0].at < runEnd {
+		e := heap.Pop(&sim.events).(event)
+		sim.now = e.at
 		e.run()
 	}
-	return w.finish()
+	return sim.finish()
 }
 
-func newWorld(scenario Scenario) *world {
-	w := &world{
+func newSimulation(scenario Scenario) *simulation {
+	sim := &simulation{
 		scenario: scenario,
 		manifest: Manifest(scenario.Place),
 		random:   rand.New(rand.NewPCG(scenario.Seed, 1)),
 	}
-	w.result = Result{Scenario: scenario, Ranks: make([]RankResult, len(loads))}
-	w.held = make([]time.Duration, len(loads))
-	w.worst = make([][]time.Duration, len(loads))
+	sim.result = Result{Scenario: scenario, Ranks: make([]RankResult, len(loads))}
+	sim.held = make([]time.Duration, len(loads))
+	sim.worst = make([][]time.Duration, len(loads))
 	for range loads {
-		w.bins = append(w.bins, make([]bin, runEnd/binTime+1))
+		sim.bins = append(sim.bins, make([]bin, runEnd/binTime+1))
 	}
 	for i := range scenario.Place.Databases {
-		w.databases = append(w.databases, &database{id: databaseName(i), zone: i % scenario.Place.Zones, slow: 1})
+		sim.databases = append(sim.databases, &database{id: databaseName(i), zone: i % scenario.Place.Zones, slow: 1})
 	}
 	var ids []model.InstanceID
 	for i := range scenario.Place.Instances {
 		ids = append(ids, model.InstanceID("instance-"+string(rune('1'+i))))
 	}
 	for i, id := range ids {
-		w.instances = append(w.instances, &instance{
-			id: id, zone: i % scenario.Place.Zones, schedule: newScheduler(scenario, id, w.manifest, ids),
+		sim.instances = append(sim.instances, &instance{
+			id: id, zone: i % scenario.Place.Zones, schedule: newScheduler(scenario, id, sim.manifest, ids),
 			requests: map[model.RequestID]*request{},
 		})
 	}
-	return w
+	return sim
 }
 
 func newScheduler(scenario Scenario, id model.InstanceID, m *manifest.Manifest, all []model.InstanceID) scheduler {
@@ -204,203 +204,203 @@
 }
 
 // after lets something happen later.
-func (w *world) after(delay time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.agenda, event{at: w.now + delay, order: w.order, run: run})
+func (sim *simulation) after(delay time.Duration, run func()) {
+	sim.order++
+	heap.Push(&sim.events, event{at: sim.now + delay, order: sim.order, run: run})
 }
 
-func (w *world) clock() time.Time { return origin.Add(w.now) }
+func (sim *simulation) clock() time.Time { return origin.Add(sim.now) }
 
-func (w *world) isFlooding() bool { return w.now >= floodStart && w.now < floodEnd }
+func (sim *simulation) isFlooding() bool { return sim.now >= floodStart && sim.now < floodEnd }
 
-func (w *world) broken() *database {
-	if w.scenario.SlowPrimary {
-		return w.databases[0]
+func (sim *simulation) broken() *database {
+	if sim.scenario.SlowPrimary {
+		return sim.databases[0]
 	}
-	return w.databases[len(w.databases)-1]
+	return sim.databases[len(sim.databases)-1]
 }
 
-func (w *world) breakDatabase() {
-	w.broken().failing = w.scenario.Failing
-	w.broken().slow = max(1, w.scenario.Slow)
+func (sim *simulation) breakDatabase() {
+	sim.broken().failing = sim.scenario.Failing
+	sim.broken().slow = max(1, sim.scenario.Slow)
 }
 
 // isCut reports whether no message passes between two instances.
-func (w *world) isCut(a, b *instance) bool {
+func (sim *simulation) isCut(a, b *instance) bool {
 	if a.down || b.down {
 		return true
 	}
-	return w.scenario.Cut && w.isFlooding() && (a.zone == 0) != (b.zone == 0)
+	return sim.scenario.Cut && sim.isFlooding() && (a.zone == 0) != (b.zone == 0)
 }
 
 // noticeTime is how long instances take to notice that peers are gone or back.
 const noticeTime = time.Second
 
 // notice tells each instance which peers it can hear.
-func (w *world) notice() {
-	for _, i := range w.instances {
+func (sim *simulation) notice() {
+	for _, i := range sim.instances {
 		s, ok := i.schedule.(*rank.Scheduler)
 		if !ok {
 			return
 		}
 		var live []model.InstanceID
-		for _, other := range w.instances {
-			if other == i || !w.isCut(i, other) {
+		for _, other := range sim.instances {
+			if other == i || !sim.isCut(i, other) {
 				live = append(live, other.id)
 			}
 		}
-		s.SetPeers(w.clock(), live)
+		s.SetPeers(sim.clock(), live)
 	}
 }
 
 // crash lets the instance crash that leases the slots.
-func (w *world) crash() {
-	if s, ok := w.instances[0].schedule.(*rank.Scheduler); ok {
-		arbiter := s.Report(w.clock()).Groups[0].Arbiter
-		for _, i := range w.instances {
+func (sim *simulation) crash() {
+	if s, ok := sim.instances[0].schedule.(*rank.Scheduler); ok {
+		arbiter := s.Report(sim.clock()).Groups[0].Arbiter
+		for _, i := range sim.instances {
 			i.down = i.id == arbiter
 		}
 	}
 }
 
-func (w *world) mendDatabase() {
-	w.broken().failing = 0
-	w.broken().slow = 1
+func (sim *simulation) mendDatabase() {
+	sim.broken().failing = 0
+	sim.broken().slow = 1
 }
 
 // delay returns the one-way delay between two availability zones.
-func (w *world) delay(a, b int) time.Duration {
+func (sim *simulation) delay(a, b int) time.Duration {
 	if a == b {
 		return nearDelay
 	}
-	return w.scenario.Place.Delay
+	return sim.scenario.Place.Delay
 }
 
 // -----------------------------------------------------------------------------
 // Arrivals.
 
 // arrive plans the next arrival of a rank.
-func (w *world) arrive(r model.Rank) {
-	gap := w.random.ExpFloat64() / w.scenario.arrivals(r, w.isFlooding())
+func (sim *simulation) arrive(r model.Rank) {
+	gap := sim.random.ExpFloat64() / sim.scenario.arrivals(r, sim.isFlooding())
 	wait := time.Duration(gap * float64(time.Second))
 	// The rate changes when the flood begins or ends; the process has no
 	// memory, so that it may be drawn anew there.
 	for _, change := range []time.Duration{floodStart, floodEnd} {
-		if w.now < change && w.now+wait > change {
-			w.after(change-w.now, func() { w.arrive(r) })
+		if sim.now < change && sim.now+wait > change {
+			sim.after(change-sim.now, func() { sim.arrive(r) })
 			return
 		}
 	}
-	w.after(wait, func() {
-		w.offer(r)
-		w.arrive(r)
+	sim.after(wait, func() {
+		sim.offer(r)
+		sim.arrive(r)
 	})
 }
 
 // offer lets one request arrive.
-func (w *world) offer(r model.Rank) {
-	w.next++
+func (sim *simulation) offer(r model.Rank) {
+	sim.next++
 	access := model.AccessRead
-	if w.random.Float64() < writeShare {
+	if sim.random.Float64() < writeShare {
 		access = model.AccessWrite
 	}
-	service := time.Duration((0.5 + 0.5*w.random.ExpFloat64()) * float64(loads[r].mean))
-	req := &request{id: w.next, rank: r, access: access, arrived: w.now, service: service}
-	at := w.instances[w.random.IntN(len(w.instances))]
+	service := time.Duration((0.5 + 0.5*sim.random.ExpFloat64()) * float64(loads[r].mean))
+	req := &request{id: sim.next, rank: r, access: access, arrived: sim.now, service: service}
+	at := sim.instances[sim.random.IntN(len(sim.instances))]
 	for at.down {
-		at = w.instances[w.random.IntN(len(w.instances))]
+		at = sim.instances[sim.random.IntN(len(sim.instances))]
 	}
-	if w.scenario.Skewed && w.isFlooding() && r == w.scenario.Rank {
-		at = w.instances[0]
+	if sim.scenario.Skewed && sim.isFlooding() && r == sim.scenario.Rank {
+		at = sim.instances[0]
 	}
-	w.bins[r][w.now/binTime].offered++
-	kind := w.manifest.Ranks[r].Name + "-" + access.String()
+	sim.bins[r][sim.now/binTime].offered++
+	kind := sim.manifest.Ranks[r].Name + "-" + access.String()
 	var limit time.Duration
-	for _, k := range w.manifest.Kinds {
+	for _, k := range sim.manifest.Kinds {
 		if k.Name == kind {
 			limit = k.Deadline
 		}
 	}
 	work := rank.Work{
-		Request: req.id, Group: "group", Rank: r, Caller: model.CallerID(rune('A' + w.random.IntN(20))), Kind: kind,
-		Arrived: w.clock(), Deadline: w.clock().Add(limit),
+		Request: req.id, Group: "group", Rank: r, Caller: model.CallerID(rune('A' + sim.random.IntN(20))), Kind: kind,
+		Arrived: sim.clock(), Deadline: sim.clock().Add(limit),
 	}
-	if _, ok := at.schedule.Offer(w.clock(), work); !ok {
-		w.end(req, outcomeRefused)
+	if _, ok := at.schedule.Offer(sim.clock(), work); !ok {
+		sim.end(req, outcomeRefused)
 		return
 	}
 	at.requests[req.id] = req
-	w.step(at)
+	sim.step(at)
 }
 
 // -----------------------------------------------------------------------------
 // Instances.
 
 // tick lets an instance step even when nothing happens.
-func (w *world) tick(i *instance) {
-	w.step(i)
-	w.after(tickTime, func() { w.tick(i) })
+func (sim *simulation) tick(i *instance) {
+	sim.step(i)
+	sim.after(tickTime, func() { sim.tick(i) })
 }
 
 // step lets an instance decide.
-func (w *world) step(i *instance) {
+func (sim *simulation) step(i *instance) {
 	if i.down {
 		return
 	}
-	for _, id := range i.schedule.Expired(w.clock()) {
-		w.end(i.requests[id], outcomeRefused)
+	for _, id := range i.schedule.Expired(sim.clock()) {
+		sim.end(i.requests[id], outcomeRefused)
 		delete(i.requests, id)
 	}
-	grants := i.schedule.Grant(w.clock(), func(work rank.Work) []model.DatabaseID { return w.candidates(i, work) })
+	grants := i.schedule.Grant(sim.clock(), func(work rank.Work) []model.DatabaseID { return sim.candidates(i, work) })
 	for _, grant := range grants {
-		w.send(i, i.requests[grant.Request], grant.Database)
+		sim.send(i, i.requests[grant.Request], grant.Database)
 	}
-	for _, sent := range i.schedule.Messages(w.clock()) {
-		w.pass(i, sent)
+	for _, sent := range i.schedule.Messages(sim.clock()) {
+		sim.pass(i, sent)
 	}
 }
 
 // candidates names the primary for writes; for reads the replicas, in turns,
 // and the primary last.
-func (w *world) candidates(i *instance, work rank.Work) []model.DatabaseID {
+func (sim *simulation) candidates(i *instance, work rank.Work) []model.DatabaseID {
 	if i.requests[work.Request].access == model.AccessWrite {
-		return []model.DatabaseID{w.databases[0].id}
+		return []model.DatabaseID{sim.databases[0].id}
 	}
 	i.turn++
-	replicas := len(w.databases) - 1
+	replicas := len(sim.databases) - 1
 	var list []model.DatabaseID
 	for n := range replicas {
-		list = append(list, w.databases[1+(i.turn+n)%replicas].id)
+		list = append(list, sim.databases[1+(i.turn+n)%replicas].id)
 	}
-	return append(list, w.databases[0].id)
+	return append(list, sim.databases[0].id)
 }
 
 // pass carries a message to a peer.
-func (w *world) pass(i *instance, sent message.SendPeer) {
-	w.messages++
+func (sim *simulation) pass(i *instance, sent message.SendPeer) {
+	sim.messages++
 	if body, err := msgpack.Marshal(sent.Body); err == nil {
-		w.bytes += len(body)
+		sim.bytes += len(body)
 	}
-	for _, to := range w.instances {
-		if to.id == sent.To && !w.isCut(i, to) {
-			w.after(w.delay(i.zone, to.zone), func() {
-				to.schedule.Hear(w.clock(), i.id, sent.Body)
-				w.step(to)
+	for _, to := range sim.instances {
+		if to.id == sent.To && !sim.isCut(i, to) {
+			sim.after(sim.delay(i.zone, to.zone), func() {
+				to.schedule.Hear(sim.clock(), i.id, sent.Body)
+				sim.step(to)
 			})
 		}
 	}
 }
 
 // send carries a request to a database.
-func (w *world) send(i *instance, req *request, id model.DatabaseID) {
-	for _, d := range w.databases {
+func (sim *simulation) send(i *instance, req *request, id model.DatabaseID) {
+	for _, d := range sim.databases {
 		if d.id != id {
 			continue
 		}
 		d.inUse++
-		req.sent = w.now
-		w.result.Beyond = max(w.result.Beyond, d.inUse-w.scenario.Place.Slots)
-		w.after(w.delay(i.zone, d.zone), func() { w.receive(d, job{from: i, req: req}) })
+		req.sent = sim.now
+		sim.result.Beyond = max(sim.result.Beyond, d.inUse-sim.scenario.Place.Slots)
+		sim.after(sim.delay(i.zone, d.zone), func() { sim.receive(d, job{from: i, req: req}) })
 	}
 }
 
@@ -411,31 +411,31 @@
 const failTime = time.Millisecond
 
 // receive lets a request run, or wait in line for a slot.
-func (w *world) receive(d *database, j job) {
-	if d.busy >= w.scenario.Place.Slots {
+func (sim *simulation) receive(d *database, j job) {
+	if d.busy >= sim.scenario.Place.Slots {
 		d.line = append(d.line, j)
 		return
 	}
 	d.busy++
-	failed := d.failing > 0 && w.random.Float64() < d.failing
+	failed := d.failing > 0 && sim.random.Float64() < d.failing
 	took := time.Duration(float64(j.req.service) * d.slow)
 	if failed {
 		took = failTime
 	}
-	w.after(took, func() { w.answer(d, j, failed) })
+	sim.after(took, func() { sim.answer(d, j, failed) })
 }
 
 // answer ends a request at the database and carries the answer back.
-func (w *world) answer(d *database, j job, failed bool) {
+func (sim *simulation) answer(d *database, j job, failed bool) {
 	d.busy--
 	if len(d.line) > 0 {
 		next := d.line[0]
 		d.line = d.line[1:]
-		w.receive(d, next)
+		sim.receive(d, next)
 	}
-	w.after(w.delay(d.zone, j.from.zone), func() {
+	sim.after(sim.delay(d.zone, j.from.zone), func() {
 		d.inUse--
-		w.answered(j, failed)
+		sim.answered(j, failed)
 	})
 }
 
@@ -443,35 +443,35 @@
 const maxTries = 3
 
 // answered takes an answer in at the instance.
-func (w *world) answered(j job, failed bool) {
+func (sim *simulation) answered(j job, failed bool) {
 	if j.from.down {
-		w.end(j.req, outcomeFailed)
+		sim.end(j.req, outcomeFailed)
 		return
 	}
 	j.req.tries++
-	ending := rank.Ending{Elapsed: w.now - j.req.sent, Failed: failed}
-	if w.now >= floodStart+settleTime && w.now < floodEnd {
-		w.held[j.req.rank] += w.now - j.req.sent
+	ending := rank.Ending{Elapsed: sim.now - j.req.sent, Failed: failed}
+	if sim.now >= floodStart+settleTime && sim.now < floodEnd {
+		sim.held[j.req.rank] += sim.now - j.req.sent
 	}
 	switch {
-	case failed && j.req.tries < maxTries && w.mayRetry(j.from):
-		j.from.schedule.Requeue(w.clock(), j.req.id, ending)
+	case failed && j.req.tries < maxTries && sim.mayRetry(j.from):
+		j.from.schedule.Requeue(sim.clock(), j.req.id, ending)
 	case failed:
-		j.from.schedule.Finish(w.clock(), j.req.id, ending)
+		j.from.schedule.Finish(sim.clock(), j.req.id, ending)
 		delete(j.from.requests, j.req.id)
-		w.end(j.req, outcomeFailed)
+		sim.end(j.req, outcomeFailed)
 	default:
-		j.from.schedule.Finish(w.clock(), j.req.id, ending)
+		j.from.schedule.Finish(sim.clock(), j.req.id, ending)
 		delete(j.from.requests, j.req.id)
-		w.end(j.req, outcomeServed)
+		sim.end(j.req, outcomeServed)
 	}
-	w.step(j.from)
+	sim.step(j.from)
 }
 
 // mayRetry asks the instance's retry budget; the baseline has none.
-func (w *world) mayRetry(i *instance) bool {
+func (sim *simulation) mayRetry(i *instance) bool {
 	s, ok := i.schedule.(*rank.Scheduler)
-	return !ok || s.AllowRetry(w.clock(), "group")
+	return !ok || s.AllowRetry(sim.clock(), "group")
 }
 
 // -----------------------------------------------------------------------------
@@ -486,16 +486,16 @@
 )
 
 // end counts what became of a request.
-func (w *world) end(req *request, what outcome) {
-	latency := w.now - req.arrived
-	inside := what == outcomeServed && latency <= w.manifest.Ranks[req.rank].Target
+func (sim *simulation) end(req *request, what outcome) {
+	latency := sim.now - req.arrived
+	inside := what == outcomeServed && latency <= sim.manifest.Ranks[req.rank].Target
 	if inside {
-		w.bins[req.rank][req.arrived/binTime].inside++
+		sim.bins[req.rank][req.arrived/binTime].inside++
 	}
 	if req.arrived < floodStart+settleTime || req.arrived >= floodEnd {
 		return
 	}
-	r := &w.result.Ranks[req.rank]
+	r := &sim.result.Ranks[req.rank]
 	switch {
 	case inside:
 		r.Inside++
@@ -507,35 +507,35 @@
 		r.Failed++
 	}
 	if what == outcomeServed {
-		w.worst[req.rank] = append(w.worst[req.rank], latency)
+		sim.worst[req.rank] = append(sim.worst[req.rank], latency)
 	}
 }
 
 // finish works the figures out.
-func (w *world) finish() Result {
+func (sim *simulation) finish() Result {
 	span := floodEnd - floodStart - settleTime
 	first, last := int((floodStart+settleTime)/binTime), int(floodEnd/binTime)
-	w.result.UsefulBy = make([]float64, len(loads))
-	w.result.OfferedBy = make([]float64, len(loads))
+	sim.result.UsefulBy = make([]float64, len(loads))
+	sim.result.OfferedBy = make([]float64, len(loads))
 	worth := 0.0
 	for r := range loads {
-		result := &w.result.Ranks[r]
-		for _, b := range w.bins[r][first:last] {
+		result := &sim.result.Ranks[r]
+		for _, b := range sim.bins[r][first:last] {
 			result.Offered += b.offered
 		}
-		slot := loads[r].mean.Seconds() / (w.scenario.capacity() * span.Seconds())
-		w.result.UsefulBy[r] = float64(result.Inside) * slot
-		w.result.OfferedBy[r] = float64(result.Offered) * slot
-		w.result.Useful += w.result.UsefulBy[r]
-		worth += float64(result.Inside) * w.manifest.Ranks[r].Worth
-		result.Worst = percentile(w.worst[r], 0.99)
+		slot := loads[r].mean.Seconds() / (sim.scenario.capacity() * span.Seconds())
+		sim.result.UsefulBy[r] = float64(result.Inside) * slot
+		sim.result.OfferedBy[r] = float64(result.Offered) * slot
+		sim.result.Useful += sim.result.UsefulBy[r]
+		worth += float64(result.Inside) * sim.manifest.Ranks[r].Worth
+		result.Worst = percentile(sim.worst[r], 0.99)
 	}
-	w.result.HeldBy = shares(w.held)
-	w.result.Worth = worth / w.best()
-	w.result.Recovery = w.recovery()
-	w.result.Messages = float64(w.messages) / runEnd.Seconds() / float64(len(w.instances))
-	w.result.Bytes = float64(w.bytes) / runEnd.Seconds() / float64(len(w.instances))
-	return w.result
+	sim.result.HeldBy = shares(sim.held)
+	sim.result.Worth = worth / sim.best()
+	sim.result.Recovery = sim.recovery()
+	sim.result.Messages = float64(sim.messages) / runEnd.Seconds() / float64(len(sim.instances))
+	sim.result.Bytes = float64(sim.bytes) / runEnd.Seconds() / float64(len(sim.instances))
+	return sim.result
 }
 
 // shares returns the parts of a sum.
@@ -553,19 +553,19 @@
 
 // best returns the worth of serving the most worth for its slot-time first, up
 // to the capacity.
-func (w *world) best() float64 {
+func (sim *simulation) best() float64 {
 	order := make([]int, len(loads))
 	for r := range order {
 		order[r] = r
 	}
-	value := func(r int) float64 { return w.manifest.Ranks[r].Worth / loads[r].mean.Seconds() }
+	value := func(r int) float64 { return sim.manifest.Ranks[r].Worth / loads[r].mean.Seconds() }
 	sort.Slice(order, func(i, j int) bool { return value(order[i]) > value(order[j]) })
 	left, sum := 1.0, 0.0
 	for _, r := range order {
-		part := min(left, w.result.OfferedBy[r])
+		part := min(left, sim.result.OfferedBy[r])
 		left -= part
-		if w.result.OfferedBy[r] > 0 {
-			sum += part / w.result.OfferedBy[r] * float64(w.result.Ranks[r].Offered) * w.manifest.Ranks[r].Worth
+		if sim.result.OfferedBy[r] > 0 {
+			sum += part / sim.result.OfferedBy[r] * float64(sim.result.Ranks[r].Offered) * sim.manifest.Ranks[r].Worth
 		}
 	}
 	return sum
@@ -573,20 +573,20 @@
 
 // recovery returns the time from the end of the flood to the first bin from
 // which on a second's arrivals are answered inside their targets.
-func (w *world) recovery() time.Duration {
+func (sim *simulation) recovery() time.Duration {
 	end := int(floodEnd / binTime)
 	for from := end; from < int(runEnd/binTime)-25; from++ {
-		if w.isWell(from, from+10) {
+		if sim.isWell(from, from+10) {
 			return time.Duration(from-end) * binTime
 		}
 	}
 	return -1
 }
 
-func (w *world) isWell(from, to int) bool {
+func (sim *simulation) isWell(from, to int) bool {
 	for r := range loads {
 		var sum bin
-		for _, b := range w.bins[r][from:to] {
+		for _, b := range sim.bins[r][from:to] {
 			sum.offered += b.offered
 			sum.inside += b.inside
 		}
