--- a/internal/core/rank/bench_test.go
+++ b/internal/core/rank/bench_test.go
@@ -49,3 +49,16 @@
 		}
 	}
 }
+
+// BenchmarkIdle measures a tick in which nothing waits.
+func BenchmarkIdle(b *testing.B) {
+	s := newTestScheduler()
+	s.Grant(start, on("a"))
+	now := start
+	for b.Loop() {
+		now = now.Add(5 * ms)
+		s.Expired(now)
+		s.Grant(now, on("a"))
+		s.Messages(now)
+	}
+}
--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -231,12 +231,14 @@
 
 // grantGroup pairs the waiting work of a group until nothing fits.
 func (s *Scheduler) grantGroup(now time.Time, g *group, candidates Candidates) {
+	waiting := 0
 	for _, q := range g.queues {
 		if q.waiting > 0 {
 			g.classify(q, candidates)
 		}
+		waiting += q.waiting
 	}
-	for progress := true; progress; {
+	for progress := waiting > 0; progress; {
 		progress = false
 		for _, d := range g.databases {
 			if s.grantDatabase(now, d, candidates) {
--- a/internal/core/rank/lease_arbiter.go
+++ b/internal/core/rank/lease_arbiter.go
@@ -222,7 +222,7 @@
 func (a *arbiter) decide(s *Scheduler, now time.Time, g *group) {
 	a.expire(now)
 	a.forget(s, now)
-	if !a.isReady(s, now) {
+	if !a.isWanted() || !a.isReady(s, now) {
 		return
 	}
 	for progress := true; progress; {
@@ -238,6 +238,16 @@
 	}
 }
 
+// isWanted reports whether any instance waits for a slot.
+func (a *arbiter) isWanted() bool {
+	for _, c := range a.clients {
+		if len(c.wants) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isReady reports whether the arbiter knows which leases an earlier arbiter
 // gave: all live instances have spoken, or such leases have ended.
 func (a *arbiter) isReady(s *Scheduler, now time.Time) bool {
