--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -166,6 +166,15 @@
 	tickTime = 5 * time.Millisecond
 )
 
+// countedFrom returns when arrivals begin to count: after the beginning of the
+// flood, or with it where peers are lost at that moment.
+func (s *Scenario) countedFrom() time.Duration {
+	if s.Cut || s.Crash {
+		return floodStart
+	}
+	return floodStart + settleTime
+}
+
 // capacity returns the slot-time that the databases give in a second.
 func (s *Scenario) capacity() float64 { return float64(s.Place.Databases * s.Place.Slots) }
 
--- a/internal/standin/flood/run.go
+++ b/internal/standin/flood/run.go
@@ -450,7 +450,7 @@
 	}
 	j.req.tries++
 	ending := rank.Ending{Elapsed: sim.now - j.req.sent, Failed: failed}
-	if sim.now >= floodStart+settleTime && sim.now < floodEnd {
+	if sim.now >= sim.scenario.countedFrom() && sim.now < floodEnd {
 		sim.held[j.req.rank] += sim.now - j.req.sent
 	}
 	switch {
@@ -492,7 +492,7 @@
 	if inside {
 		sim.bins[req.rank][req.arrived/binTime].inside++
 	}
-	if req.arrived < floodStart+settleTime || req.arrived >= floodEnd {
+	if req.arrived < sim.scenario.countedFrom() || req.arrived >= floodEnd {
 		return
 	}
 	r := &sim.result.Ranks[req.rank]
@@ -513,8 +513,9 @@
 
 // finish works the figures out.
 func (sim *simulation) finish() Result {
-	span := floodEnd - floodStart - settleTime
-	first, last := int((floodStart+settleTime)/binTime), int(floodEnd/binTime)
+	from := sim.scenario.countedFrom()
+	span := floodEnd - from
+	first, last := int(from/binTime), int(floodEnd/binTime)
 	sim.result.UsefulBy = make([]float64, len(loads))
 	sim.result.OfferedBy = make([]float64, len(loads))
 	worth := 0.0
