standin: lose the answers to changes alone

Cause: with every answer lost, an instance never reads the row that it is about to change, so the fault can't strike at the change of a promotion. Ruled out: arming the fault between the read and the write from outside, which is a race. Change: the fault "lose" takes "writes"; requests that change nothing are then answered. The fault without it is as before. Conclusion: TestFaults has a case for it, and wants of the others, besides what it wanted, that reads are answered or not as they were.

--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -11,6 +11,8 @@
 	Fault string `json:"fault"`
 	// Delay is a duration such as "2s".
 	Delay string `json:"delay"`
+	// Writes limits a loss of answers to those of changes.
+	Writes bool `json:"writes"`
 }
 
 // faultVariant is one entry of the table of faults.
--- a/internal/standin/platform/fault_lose.go
+++ b/internal/standin/platform/fault_lose.go
@@ -1,13 +1,13 @@
 package platform
 
 // FaultLose does what is asked and then closes the connection without an
-// answer.
-type FaultLose struct{}
+// answer. With Writes, requests that change nothing are answered.
+type FaultLose struct{ Writes bool }
 
 func (FaultLose) isFault() {}
 
 var faultLose = faultVariant{
 	name:  "lose",
-	help:  "changes take effect, and connections are closed unanswered",
-	parse: func(FaultRequest) (Fault, error) { return FaultLose{}, nil },
+	help:  "changes take effect, and connections are closed unanswered; with \"writes\" those of changes only",
+	parse: func(request FaultRequest) (Fault, error) { return FaultLose{Writes: request.Writes}, nil },
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -58,6 +58,10 @@
 			}
 			next.ServeHTTP(w, r)
 		case FaultLose:
+			if fault.Writes && r.Method == http.MethodGet {
+				next.ServeHTTP(w, r)
+				return
+			}
 			// The change takes effect even if the client has gone.
 			next.ServeHTTP(discard{}, r.WithContext(context.WithoutCancel(r.Context())))
 			closeUnanswered()
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -135,14 +135,15 @@
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		fault string
-		// answered says that the write gets an answer, changed that it takes
-		// effect.
-		answered, changed bool
+		// answered says that the write gets an answer, read that a request that
+		// changes nothing gets one, changed that the write takes effect.
+		answered, read, changed bool
 	}{
-		{`{"fault":"none"}`, true, true},
-		{`{"fault":"outage"}`, false, false},
-		{`{"fault":"slow","delay":"1ms"}`, true, true},
-		{`{"fault":"lose"}`, false, true},
+		{`{"fault":"none"}`, true, true, true},
+		{`{"fault":"outage"}`, false, false, false},
+		{`{"fault":"slow","delay":"1ms"}`, true, true, true},
+		{`{"fault":"lose"}`, false, false, true},
+		{`{"fault":"lose","writes":true}`, false, true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.fault, func(t *testing.T) {
@@ -150,7 +151,7 @@
 			equal(t, 200, ask(t, p, "POST", "/admin/fault", c.fault).Status)
 			written := ask(t, p, "PUT", "/tables/g/a", "x", "If-None-Match", "*")
 			equal(t, c.answered, written.Status != 0)
-			equal(t, c.answered, ask(t, p, "GET", "/instances", "").Status != 0)
+			equal(t, c.read, ask(t, p, "GET", "/instances", "").Status != 0)
 			equal(t, 200, ask(t, p, "POST", "/admin/fault", `{"fault":"none"}`).Status)
 			equal(t, c.changed, ask(t, p, "GET", "/tables/g/a", "").Status == 200)
 		})
