deploy: tell the exit code of a verb, and wait for a process to end by itself

Cause: a test of two operators who race needs the exit code, and one of a drain by the operators' verb needs to see the process end without a signal. Change: ProcessError carries Exit, Process has Wait.

--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -355,7 +355,8 @@
 	return report, errors.WithStack(json.Unmarshal([]byte(out), &report))
 }
 
-// Operate runs an operators' verb against an instance.
+// Operate runs an operators' verb against an instance. Its error is a
+// *ProcessError with the exit code.
 func (d *Deployment) Operate(ctx context.Context, in *Instance, args ...string) (string, error) {
 	args = append(args, "--address", in.Operators.String(), "--token", "file:"+d.path(secretFile))
 	command := exec.CommandContext(ctx, filepath.Join(d.options.Binaries, "eelgrassfold"), args...)
@@ -363,7 +364,10 @@
 	command.Stderr = &failures
 	out, err := command.Output()
 	if err != nil {
-		return "", &ProcessError{Name: "eelgrassfold " + args[0], Why: strings.TrimSpace(failures.String())}
+		return "", &ProcessError{
+			Name: "eelgrassfold " + args[0], Why: strings.TrimSpace(failures.String()),
+			Exit: command.ProcessState.ExitCode(),
+		}
 	}
 	return strings.TrimRight(string(out), "\n"), nil
 }
--- a/internal/standin/deploy/process.go
+++ b/internal/standin/deploy/process.go
@@ -28,6 +28,8 @@
 type ProcessError struct {
 	Name string
 	Why  string
+	// Exit is the exit code of a verb that ran to its end and failed.
+	Exit int
 }
 
 // Error implements error.
@@ -120,6 +122,20 @@
 	}
 }
 
+// Wait waits until the process has ended by itself, and returns a *ProcessError
+// where its exit code was not 0 or the context ended first.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.ended:
+	case <-ctx.Done():
+		return &ProcessError{Name: p.Name, Why: "did not end"}
+	}
+	if p.failure != nil {
+		return &ProcessError{Name: p.Name, Why: p.failure.Error()}
+	}
+	return nil
+}
+
 // Stop asks the process to end, and kills it where it does not.
 func (p *Process) Stop() error {
 	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
