Prove the faults on whole deployments of real processes

Cause: the fault matrix runs the core on virtual time; kill -9, SIGSTOP, SIGTERM, silent sockets and racing command lines are seen with real processes only. Change: package internal/standin/proof, fifteen cases in one table. Each starts three databases, three instances and a platform, offers a small load with a fixed seed, and judges what callers were told by the primary's final ledger, beside reads through another instance with the session's token. Nothing is timed but for a limit of the whole case.

--- /dev/null
+++ b/internal/standin/proof/case_database_test.go
@@ -0,0 +1,75 @@
+package proof_test
+
+import (
+	"strings"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+)
+
+// ioError is the SQLSTATE of the fault "err".
+const ioError = "58030"
+
+func connectionsSilent(s *stage) {
+	s.under(func() {
+		for _, d := range s.Databases {
+			s.fail(d, database.FaultRequest{Fault: "silent"})
+		}
+	})
+	s.serves()
+}
+
+// replicaLeaves lets every statement at the replica fail once it has no work,
+// so that new work there would be seen by a caller.
+func replicaLeaves(s *stage) {
+	leaving := s.Databases[1]
+	report := s.under(func() {
+		s.fail(leaving, database.FaultRequest{Fault: "leave", Grace: "30s"})
+		s.awaitNoWork(leaving)
+		s.fail(leaving, database.FaultRequest{Fault: "err", Share: 1})
+	})
+	s.wantNoCause(report, ioError)
+	s.serves()
+}
+
+// primaryLeaves wants a planned change of primary besides.
+func primaryLeaves(s *stage) {
+	leaving := s.Databases[0]
+	report := s.under(func() {
+		s.fail(leaving, database.FaultRequest{Fault: "leave", Grace: "30s"})
+		s.awaitPromotion()
+		s.awaitNoWork(leaving)
+		s.fail(leaving, database.FaultRequest{Fault: "err", Share: 1})
+	})
+	s.wantNoCause(report, ioError)
+	s.serves()
+	out, err := s.Operate(s.ctx, s.Instances[0], "logbook")
+	s.must(err)
+	if !strings.Contains(out, "reason: primary leaving") {
+		s.Errorf("the logbook does not tell why:\n%s", out)
+	}
+}
+
+// awaitNoWork waits until each instance has heard that a database leaves and
+// has no request there.
+func (s *stage) awaitNoWork(leaving *deploy.Database) {
+	s.Helper()
+	s.awaitStatus("no work at the leaving database", func(report status.Status) bool {
+		for _, d := range report.Groups[0].Databases {
+			if d.Name == string(leaving.Name) {
+				return d.Leaving && d.Running == 0
+			}
+		}
+		return false
+	})
+}
+
+// wantNoCause wants no statement to have ended for a cause.
+func (s *stage) wantNoCause(report load.Report, cause string) {
+	s.Helper()
+	for name, kind := range report.Kinds {
+		s.equal(name+" with "+cause, int64(0), kind.Causes[cause])
+	}
+}
--- /dev/null
+++ b/internal/standin/proof/proof_test.go
@@ -0,0 +1,64 @@
+// Package proof lets faults happen to whole deployments of real processes, and
+// holds what callers were told against what the databases finally hold.
+//
+// # What flows in and out
+//
+// The binaries are built once by `go build`. Each case starts a deployment of
+// its own, offers a small load with a fixed seed, lets its faults happen and
+// judges. The verdict rests on what callers and operators were told and on the
+// databases' content; an instance's own opinion serves only to wait until it
+// has noticed something. Nothing is timed: a limit for the whole case turns a
+// hang into a failure.
+//
+// # Usage
+//
+//	go test -race ./internal/standin/proof -run 'TestProof/primary_killed'
+package proof_test
+
+import (
+	"os/exec"
+	"testing"
+)
+
+// proofCase is one case of the table.
+type proofCase struct {
+	name string
+	run  func(s *stage)
+}
+
+// cases lists every case; the files case_*_test.go hold them.
+var cases = []proofCase{
+	{"primary killed", primaryKilled},
+	{"primary frozen and thawed", primaryFrozen},
+	{"primary isolated from its replicas", primaryIsolated},
+	{"connections silent", connectionsSilent},
+	{"instance killed in a transaction", instanceKilled},
+	{"instance ended by SIGTERM", instanceTerminated},
+	{"instance drained", instanceDrained},
+	{"replica leaves", replicaLeaves},
+	{"primary leaves", primaryLeaves},
+	{"instance restarted in an outage", restartInOutage},
+	{"primary killed in an outage", primaryKilledInOutage},
+	{"answers lost in a submission", answersLostInSubmission},
+	{"answers lost in a promotion", answersLostInPromotion},
+	{"operators race", operatorsRace},
+	{"logbook", logbookTells},
+}
+
+func TestProof(t *testing.T) {
+	binaries := build(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(newStage(t, binaries)) })
+	}
+}
+
+// build builds the binaries into a temporary directory and returns its name.
+func build(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", folder+"/", "../../../cmd/...").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return folder
+}
--- /dev/null
+++ b/internal/standin/proof/session_test.go
@@ -0,0 +1,67 @@
+package proof_test
+
+import (
+	"net/url"
+
+	"github.com/google/uuid"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+)
+
+// connect opens a caller's connection.
+func (s *stage) connect(in *deploy.Instance, parameters map[string]string) *pgx.Conn {
+	s.Helper()
+	place := url.URL{Scheme: "postgres", User: url.User("proof"), Host: in.Callers.String(), Path: "/" + string(group)}
+	config, err := pgx.ParseConfig(place.String())
+	s.must(err)
+	for name, value := range parameters {
+		config.RuntimeParams[name] = value
+	}
+	conn, err := pgx.ConnectConfig(s.ctx, config)
+	s.must(err)
+	return conn
+}
+
+func (s *stage) disconnect(conn *pgx.Conn) { _ = conn.Close(s.ctx) }
+
+// execute runs statements that have to succeed.
+func (s *stage) execute(conn *pgx.Conn, statements ...string) {
+	s.Helper()
+	for _, sql := range statements {
+		if _, err := conn.Exec(s.ctx, sql); err != nil {
+			s.Fatalf("%s: %v", sql, err)
+		}
+	}
+}
+
+// serves wants each running instance to take a write whose session reads it
+// through the next one.
+func (s *stage) serves() {
+	s.Helper()
+	running := s.running()
+	for i, in := range running {
+		key := uuid.NewString()
+		token := s.write(in, key)
+		s.equal("read through another instance", "14:03:10", s.read(running[(i+1)%len(running)], key, token))
+	}
+}
+
+// write writes a key and returns the session token.
+func (s *stage) write(in *deploy.Instance, key string) string {
+	s.Helper()
+	conn := s.connect(in, map[string]string{"eelgrassfold.kind": "post"})
+	defer s.disconnect(conn)
+	_, err := conn.Exec(s.ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", key, "14:03:10")
+	s.must(err)
+	return conn.PgConn().ParameterStatus("eelgrassfold.token")
+}
+
+func (s *stage) read(in *deploy.Instance, key, token string) string {
+	s.Helper()
+	conn := s.connect(in, map[string]string{"eelgrassfold.kind": "check", "eelgrassfold.token": token})
+	defer s.disconnect(conn)
+	var value string
+	s.must(conn.QueryRow(s.ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&value))
+	return value
+}
