--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -76,8 +76,10 @@
 
 // Scheduler orders the work of one instance.
 type Scheduler struct {
-	self      model.InstanceID
-	way       string
+	self model.InstanceID
+	// born is when the first manifest came, now the time of the last call that
+	// told it.
+	born, now time.Time
 	peers     peers
 	limits    manifest.Limits
 	ranks     []manifest.Rank
@@ -102,9 +104,6 @@
 // Option changes how a scheduler works.
 type Option func(*Scheduler)
 
-// WithShare chooses how the instances divide slots, one of ShareNames.
-func WithShare(name string) Option { return func(s *Scheduler) { s.way = name } }
-
 // WithFixedLimits turns adaptive limits and circuits off.
 func WithFixedLimits() Option { return func(s *Scheduler) { s.hasFixedLimits = true } }
 
@@ -113,7 +112,6 @@
 func NewScheduler(self model.InstanceID, options ...Option) *Scheduler {
 	s := &Scheduler{
 		self:      self,
-		way:       defaultShare,
 		kinds:     map[string]*kind{},
 		groups:    map[model.GroupID]*group{},
 		databases: map[model.DatabaseID]*database{},
@@ -132,6 +130,10 @@
 // Configure puts a manifest's ranks and limits in force. Waiting and running
 // work stays; work of a group that is gone waits for its deadline.
 func (s *Scheduler) Configure(now time.Time, m *manifest.Manifest) {
+	if s.born.IsZero() {
+		s.born = now
+	}
+	s.now = now
 	s.limits = m.Limits
 	s.ranks = m.Ranks
 	s.configureKinds(m.Kinds)
@@ -174,7 +176,7 @@
 func (s *Scheduler) configureGroup(now time.Time, declared manifest.Group, known map[model.DatabaseID]*database) {
 	g := s.groups[declared.Name]
 	if g == nil {
-		g = &group{id: declared.Name, share: newShare(s.way)}
+		g = &group{id: declared.Name, leasing: newLeasing(), retries: retries{saved: retryFirst, since: now}}
 		s.groups[declared.Name] = g
 	}
 	s.sequence = append(s.sequence, g)
@@ -314,12 +316,12 @@
 // its deadline; Expired returns that.
 func (s *Scheduler) Grant(now time.Time, candidates Candidates) []Grant {
 	s.expire(now)
-	s.grants = nil
+	s.grants, s.now = nil, now
 	s.peers.refresh(now)
 	for _, g := range s.sequence {
 		s.grantGroup(now, g, candidates)
-		s.outbox = append(s.outbox, s.messages(now, g)...)
-		if g.isArbiter() {
+		s.outbox = append(s.outbox, g.leasing.messages(s, now, g)...)
+		if g.leasing.arbiter != nil {
 			s.grantGroup(now, g, candidates)
 		}
 	}
@@ -336,7 +338,7 @@
 	q := s.groups[it.work.Group].queueOf(&it.work)
 	took := now.Sub(it.started)
 	it.database.ledger.stop(now, q.rank)
-	s.finished(it)
+	it.database.group.leasing.holder.finished(it)
 	s.learn(now, it, ending)
 	s.charge(now, q, it, took-it.cost)
 	q.count.running--
@@ -360,7 +362,7 @@
 
 // slotsOf returns the slots that this instance may count on for an access: its
 // equal share, or what it used lately where that is more.
-func (s *Scheduler) slotsOf(now time.Time, g *group, a model.Access) float64 {
+func (s *Scheduler) slotsOf(g *group, a model.Access) float64 {
 	databases := len(g.databases)
 	if a == model.AccessWrite {
 		databases = 1
@@ -368,7 +370,7 @@
 	equal := float64(s.limits.Slots*databases) / float64(max(1, len(s.peers.known)))
 	used := 0.0
 	for _, q := range g.queues {
-		used += q.drained(now, a)
+		used += q.drained(a)
 	}
 	return max(equal, used)
 }
@@ -378,6 +380,7 @@
 
 // SetPeers tells which instances are alive, this one included.
 func (s *Scheduler) SetPeers(now time.Time, live []model.InstanceID) {
+	s.now = now
 	for _, id := range s.peers.set(now, live) {
 		s.note(now, shareReserved(id, s.peers.until[id]))
 	}
@@ -394,9 +397,7 @@
 // elect adopts the arbiters that the live instances give.
 func (s *Scheduler) elect(now time.Time) {
 	for _, g := range s.sequence {
-		if way, ok := g.share.(*arbiterShare); ok {
-			way.elect(s, now, g)
-		}
+		g.leasing.elect(s, now, g)
 	}
 }
 
@@ -410,7 +411,7 @@
 		id = body.Group
 	}
 	if g := s.groups[id]; g != nil {
-		s.hear(now, g, from, body)
+		g.leasing.hear(s, now, g, from, body)
 	}
 }
 
