Compare overhead in rounds, under limits that are not the bound

Cause: the experiment started under a manifest with 3 slots and submitted one with 64 slots right before it measured. The limit of a database had begun at 3 and rises by a tenth with each good answer, so that the run through the instance measured the old limit: 3 reads were running at a database while 60 waited (status, 64 connections). One run of each told nothing of how far the figures move on a machine with other work.

Change: the deployment starts under the wide manifest. Direct and through take turns in rounds, one row each. The head says what is compared; the processor time of the instance for each read stands beside, which other work on the machine moves less.

--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -138,11 +138,16 @@
 
 // start starts a deployment of one group.
 func start(ctx context.Context, binaries string, instances int, database ...string) (*deploy.Deployment, error) {
+	return startWith(ctx, binaries, manifestHead, instances, database...)
+}
+
+// startWith starts a deployment of one group under a manifest of its own.
+func startWith(ctx context.Context, binaries, manifest string, instances int, database ...string) (*deploy.Deployment, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	return deploy.Start(ctx, deploy.Options{
 		Binaries: binaries, Zones: zones, Groups: []model.GroupID{group}, Instances: instances,
-		Manifest: manifestHead, Database: database, Log: "info",
+		Manifest: manifest, Database: database, Log: "info",
 	})
 }
 
--- a/internal/standin/drill/experiment_overhead.go
+++ b/internal/standin/drill/experiment_overhead.go
@@ -7,13 +7,16 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
 )
 
 // Overhead compares reads sent to a stand-in database directly with reads
-// through one instance, in the same run.
+// through one instance, in the same run: rounds of both take turns, since other
+// work on the machine moves the figures.
 type Overhead struct {
 	Connections []int   `help:"Numbers of connections." default:"1,16,64"`
+	Rounds      int     `help:"Rounds of each comparison, one row each." default:"3"`
 	Seconds     float64 `help:"Length of each run, in seconds." default:"4"`
 	Work        string  `help:"Time that the database works on a statement." default:"0s"`
 }
@@ -21,32 +24,51 @@
 // Run implements Experiment.
 func (o *Overhead) Run(ctx context.Context, out io.Writer, binaries string) error {
 	row(out, "overhead: reads by key, database work %s, %.0f s each, closed loop, one instance", o.Work, o.Seconds)
-	row(out, "%11s %12s %12s %6s %12s %12s %10s", "connections", "direct /s", "through /s", "ratio", "direct p50", "through p50", "added us")
-	d, err := start(ctx, binaries, 1, "--work", o.Work, "--slots", "64", "--connections", "200", "--lag", "0s")
+	row(out, "direct: all connections to the one primary; through: the instance, which sends reads to the two replicas;")
+	row(out, "limits: 64 slots and 200 connections a database, so that neither is the bound; cpu: processor time of the instance")
+	row(out, "%11s %12s %12s %6s %12s %12s %10s %12s", "connections", "direct /s", "through /s", "ratio",
+		"direct p50", "through p50", "added us", "cpu us each")
+	d, err := startWith(ctx, binaries, wideManifest, 1, "--work", o.Work, "--slots", "64", "--connections", "200", "--lag", "0s")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.Stop() }()
-	if _, err := d.Submit(ctx, d.Instances[0], wideManifest+d.ManifestText()[len(manifestHead):], 1); err != nil {
-		return err
-	}
 	for _, connections := range o.Connections {
-		direct, err := o.measure(ctx, d.Databases[0].Address, connections, true)
-		if err != nil {
-			return err
-		}
-		through, err := o.measure(ctx, d.Instances[0].Callers, connections, false)
-		if err != nil {
-			return err
+		for range o.Rounds {
+			if err := o.compare(ctx, out, d, connections); err != nil {
+				return err
+			}
 		}
-		a, b := direct.Kinds["check"], through.Kinds["check"]
-		const micro = 1000
-		row(out, "%11d %12.0f %12.0f %6.2f %10.3fms %10.3fms %10.0f", connections, a.Rate, b.Rate, b.Rate/a.Rate,
-			a.Latency.P50, b.Latency.P50, micro*(b.Latency.P50-a.Latency.P50))
 	}
 	return nil
 }
 
+// compare measures one round and writes its row.
+func (o *Overhead) compare(ctx context.Context, out io.Writer, d *deploy.Deployment, connections int) error {
+	direct, err := o.measure(ctx, d.Databases[0].Address, connections, true)
+	if err != nil {
+		return err
+	}
+	before, _, err := d.Instances[0].Process.Usage()
+	if err != nil {
+		return err
+	}
+	through, err := o.measure(ctx, d.Instances[0].Callers, connections, false)
+	if err != nil {
+		return err
+	}
+	after, _, err := d.Instances[0].Process.Usage()
+	if err != nil {
+		return err
+	}
+	a, b := direct.Kinds["check"], through.Kinds["check"]
+	const micro = 1000
+	served := b.Rate * o.Seconds
+	row(out, "%11d %12.0f %12.0f %6.2f %10.3fms %10.3fms %10.0f %12.1f", connections, a.Rate, b.Rate, b.Rate/a.Rate,
+		a.Latency.P50, b.Latency.P50, micro*(b.Latency.P50-a.Latency.P50), float64((after-before).Microseconds())/served)
+	return nil
+}
+
 // measure reads in a closed loop.
 func (o *Overhead) measure(ctx context.Context, to netip.AddrPort, connections int, direct bool) (load.Report, error) {
 	return load.Run(ctx, load.Options{
