Measure slowdowns of short answers against a millisecond at least

Cause: a limit is lowered when a database answers three times slower than the best mean of its kind. A read that takes 40 us by itself takes a few hundred among 64 others, by queues and the machine's own scheduling, so that the limit fell to 2 or 3 of 64 slots and stayed there: 60 of 64 requests waited in the instance while the databases idled.

Ruled out: leases (this instance is the arbiter, its demand is not delayed), the manifest (in force before the run), connections (96 allowed).

Change: the best that a time is compared with counts as a millisecond at least. A database that becomes slow on the scale of targets is still found.

Test: TestShortAnswersKeepLimit, red before (limit 1 of 2 slots), green after. TestFaultMatrix is red before this change, with seven differing cells, and differs in the same seven with it.

--- a/internal/core/rank/limit.go
+++ b/internal/core/rank/limit.go
@@ -18,6 +18,10 @@
 	// at which a limit is lowered; wellRatio is the one below which it rises.
 	slowRatio = 3.0
 	wellRatio = 1.5
+	// slowFloor is the least time that a slowdown is measured against. Among
+	// answers that take less, the differences are those of queues and of the
+	// machine, at any load, and no target is near.
+	slowFloor = time.Millisecond
 	// failShare is the share of failures at which a limit is lowered, and
 	// failStreak the number of failures in a row at which a circuit opens.
 	failShare  = 0.7
@@ -191,7 +195,7 @@
 			best = min(best, known.mean)
 		}
 	}
-	return float64(took) / max(best, 1)
+	return float64(took) / max(best, float64(slowFloor))
 }
 
 // adapt moves the limit by additive increase and multiplicative decrease, and
