--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -48,6 +48,7 @@
 	{"replicas", "Share of reads served by replicas at several lags, with sessions that roam.", &Replicas{}},
 	{"manifest", "Time for a manifest to be in force on all instances.", &Manifest{}},
 	{"overhead", "Throughput and latency through one instance, against a database directly.", &Overhead{}},
+	{"flood", "Service by rank while one kind of work floods in.", &Flood{}},
 	{"idle", "Memory of idle callers' connections.", &Idle{}},
 }
 
--- /dev/null
+++ b/internal/standin/drill/experiment_flood.go
@@ -0,0 +1,145 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+)
+
+// Flood offers a steady load of all ranks through all instances, and lets one
+// kind of work flood in far beyond what the databases can take.
+type Flood struct {
+	Place     string        `help:"Whose sizes: consortium or reparto." default:"consortium" enum:"consortium,reparto"`
+	Instances int           `help:"Number of instances." default:"6"`
+	Loads     []float64     `help:"Offered load, as multiples of the group's capacity." default:"0.5,1,2,5,10"`
+	Floods    []string      `help:"Kinds that flood." default:"pull,post" enum:"pull,check,post"`
+	Work      time.Duration `help:"Time that a database works on a statement." default:"20ms"`
+	Clients   int           `help:"Callers' connections for each kind." default:"300"`
+	Warm      time.Duration `help:"Light load before each run." default:"4s"`
+	Seconds   float64       `help:"Length of each run, in seconds." default:"5"`
+}
+
+// place holds the sizes of a deployment.
+type place struct {
+	slots, connections int
+	zones              []model.ZoneID
+}
+
+// places lists the deployments whose sizes can be used.
+var places = map[string]place{
+	"consortium": {slots: 3, connections: 20, zones: zones},
+	"reparto": {
+		slots: 2, connections: 30,
+		zones: []model.ZoneID{"mazatlan-a", "mazatlan-b", "topolobampo", "guaymas"},
+	},
+}
+
+// floodKinds are the kinds of work with their steady part of the capacity that
+// they use: slots of the primary for writes, of all databases for reads.
+var floodKinds = []struct {
+	name   string
+	access model.Access
+	part   float64
+	target time.Duration
+}{
+	{"post", model.AccessWrite, 0.1, 200 * time.Millisecond},
+	{"check", model.AccessRead, 0.2, 500 * time.Millisecond},
+	{"pull", model.AccessRead, 0.15, 5 * time.Second},
+}
+
+// Run implements Experiment.
+func (f *Flood) Run(ctx context.Context, out io.Writer, binaries string) error {
+	p := places[f.Place]
+	capacity := float64(groupDatabases*p.slots) / f.Work.Seconds()
+	row(out, "flood: %s, %d instances, 3 databases of %d slots, work %s, capacity %.0f/s, %.0f s each",
+		f.Place, f.Instances, p.slots, f.Work, capacity, f.Seconds)
+	row(out, "%-6s %5s  %s", "flood", "load", "kind: offered, done, inside target, not run, median and 99th percentile of what was done")
+	for _, kind := range f.Floods {
+		for _, times := range f.Loads {
+			if err := f.runOnce(ctx, out, binaries, p, kind, capacity, times); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// groupDatabases is the number of databases of a group.
+const groupDatabases = 3
+
+// runOnce measures one load.
+func (f *Flood) runOnce(ctx context.Context, out io.Writer, binaries string, p place, flood string, capacity, times float64) error {
+	d, err := f.start(ctx, binaries, p)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Stop() }()
+	steady := 0.0
+	for _, kind := range floodKinds {
+		steady += kind.part
+	}
+	var kinds []load.Kind
+	for _, kind := range floodKinds {
+		rate := kind.part * capacity
+		if kind.name == flood {
+			rate += max(0, times-steady) * capacity
+		}
+		kinds = append(kinds, load.Kind{Name: kind.name, Access: kind.access, Rate: rate, Target: kind.target})
+	}
+	options := load.Options{
+		Addresses: callerAddresses(d), Group: group, User: "drill", Connections: f.Clients, Kinds: kinds,
+		Duration: time.Duration(f.Seconds * float64(time.Second)), Patience: 15 * time.Second, Seed: 1,
+		Admins: adminAddresses(d),
+	}
+	if err := f.warm(ctx, options); err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	var cells []string
+	for _, kind := range floodKinds {
+		r := report.Kinds[kind.name]
+		cells = append(cells, fmt.Sprintf("%s: %5d, %5d, %5.1f%%, %5d, %4.0f and %5.0f ms", kind.name, r.Offered, r.Done,
+			share(r.Target, r.Offered), r.NotRun, r.Latency.P50, r.Latency.P99))
+	}
+	row(out, "%-6s %5.1f  %s; lost %d, doubled %d, refused but held %d", flood, times, strings.Join(cells, " | "),
+		report.Comparison.Lost, report.Comparison.Doubled, report.Comparison.Ghosts)
+	return nil
+}
+
+// warm offers a little work of each kind first, until the instances have met and
+// have their connections.
+func (f *Flood) warm(ctx context.Context, options load.Options) error {
+	options.Duration = f.Warm
+	options.Admins = nil
+	options.Kinds = slices.Clone(options.Kinds)
+	for i := range options.Kinds {
+		const rate = 20
+		options.Kinds[i].Rate = rate
+	}
+	_, err := load.Run(ctx, options)
+	return err
+}
+
+// start starts a deployment of the place's sizes.
+func (f *Flood) start(ctx context.Context, binaries string, p place) (*deploy.Deployment, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	head := strings.Replace(manifestHead, "slots = 3\nconnections = 20",
+		fmt.Sprintf("slots = %d\nconnections = %d", p.slots, p.connections), 1)
+	return deploy.Start(ctx, deploy.Options{
+		Binaries: binaries, Zones: p.zones, Groups: []model.GroupID{group}, Instances: f.Instances,
+		Manifest: head, Log: "warn", Database: []string{
+			"--slots", fmt.Sprint(p.slots), "--connections", fmt.Sprint(p.connections), "--work", f.Work.String(),
+		},
+	})
+}
