--- a/internal/standin/flood/flood_test.go
+++ b/internal/standin/flood/flood_test.go
@@ -8,9 +8,20 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
-var places = []Place{Consortium, Reparto}
+// eachPlace runs a test for both deployments at the same time.
+func eachPlace(t *testing.T, test func(t *testing.T, place Place)) {
+	t.Helper()
+	t.Parallel()
+	for _, place := range []Place{Consortium, Reparto} {
+		t.Run(place.Name, func(t *testing.T) {
+			t.Parallel()
+			test(t, place)
+		})
+	}
+}
 
 func TestSameScenarioSameResult(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range []Scenario{
 		{Place: Reparto, Way: Leases, Rank: 1, Load: 0.5, Seed: 3, Cut: true},
 		{Place: Consortium, Way: Leases, Rank: 2, Load: 0.5, Seed: 3, Failing: 0.5},
@@ -24,7 +35,7 @@
 // TestUrgentWhileLeastUrgentFloods checks that urgent work stays inside its
 // target, and that the flood costs little of what is useful.
 func TestUrgentWhileLeastUrgentFloods(t *testing.T) {
-	for _, place := range places {
+	eachPlace(t, func(t *testing.T, place Place) {
 		calm := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 1, Seed: 1})
 		flooded := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 10, Seed: 1})
 		if share := flooded.Ranks[0].InsideShare(); share < 0.99 {
@@ -36,13 +47,13 @@
 		if flooded.Beyond > 2 {
 			t.Errorf("%s: %d requests beyond the slots", place.Name, flooded.Beyond)
 		}
-	}
+	})
 }
 
 // TestFloorsWhileUrgentFloods checks that each other rank keeps its floor,
 // within 5%, or all that it asks for.
 func TestFloorsWhileUrgentFloods(t *testing.T) {
-	for _, place := range places {
+	eachPlace(t, func(t *testing.T, place Place) {
 		flooded := Run(Scenario{Place: place, Way: Leases, Rank: 0, Load: 10, Seed: 1})
 		ranks := Manifest(place).Ranks
 		for r := range model.Rank(len(ranks)) {
@@ -50,18 +61,18 @@
 				t.Errorf("%s: %s has %.3f of the slot-time, floor %.2f", place.Name, ranks[r].Name, held, ranks[r].Floor)
 			}
 		}
-	}
+	})
 }
 
 // TestFailingDatabase checks that a database that fails altogether costs the
 // others nothing.
 func TestFailingDatabase(t *testing.T) {
-	for _, place := range places {
+	eachPlace(t, func(t *testing.T, place Place) {
 		result := Run(Scenario{Place: place, Way: Leases, Rank: 2, Load: 0.5, Seed: 1, Failing: 1})
 		for r := range result.Ranks {
 			if share := result.Ranks[r].InsideShare(); share < 0.99 {
 				t.Errorf("%s: %.4f of rank %d inside its target", place.Name, share, r)
 			}
 		}
-	}
+	})
 }
