Send work that may be repeated again at once after a lost answer

Cause: the manifest's repeat was read but meant nothing. Change: a lost commit of such a kind is sent again under a new key without asking the group; other work is settled first, as before.

--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -125,3 +125,40 @@
 		t.Errorf("manifest in force = %d after a lower one was offered, want 2", again.number)
 	}
 }
+
+// TestLostCommitOfRepeatableWork loses the answer of a commit while the old
+// primary goes on: repeatable work is sent again without asking, other work only
+// after proof.
+func TestLostCommitOfRepeatableWork(t *testing.T) {
+	cases := map[string]struct {
+		kind   string
+		asked  bool
+		result result
+	}{
+		"repeatable":     {kind: "recompute", asked: false, result: resultDone},
+		"not repeatable": {kind: "post", asked: true, result: resultCommitted},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			n := w.node("i1")
+			recompute := "[[kind]]\nname = \"recompute\"\nrank = \"background\"\naccess = \"write\"\ndeadline = \"8s\"\nrepeat = true\n"
+			n.post(message.ManifestSubmitted{Ask: 1, Body: []byte(testManifest + recompute), Expected: 1})
+			w.run(time.Second)
+			asked := false
+			w.onAction = func(_ *node, action message.Action) {
+				_, isSettle := action.(message.Settle)
+				asked = asked || isSettle
+				if dispatch, isDispatch := action.(message.Dispatch); isDispatch && dispatch.Attempt == 1 {
+					// The work arrives; its answer never does.
+					w.after(linkTime+workTime+linkTime/2, func() { w.database("d1").mute["i1"] = true })
+				}
+			}
+			write := w.call(n, c.kind, "entry", model.Token{})
+			w.run(5 * time.Second)
+			if write.result != c.result || asked != c.asked {
+				t.Errorf("result = %s %s, group asked %v; want %s, %v", write.result, write.why, asked, c.result, c.asked)
+			}
+		})
+	}
+}
--- a/internal/core/engine/fake_caller_test.go
+++ b/internal/core/engine/fake_caller_test.go
@@ -136,7 +136,7 @@
 }
 
 func (a *attempt) isCommitting() bool {
-	if a.caller.kind != "post" {
+	if a.dispatch.Access != model.AccessWrite {
 		return false
 	}
 	return !a.caller.transaction || a.step == "commit"
--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -161,13 +161,24 @@
 	e.settle(r)
 }
 
+// takeLostCommit asks the group what became of a commit. Work that may be done
+// twice without harm is sent again at once instead, under a new key.
+func (e *Engine) takeLostCommit(r *request, answer message.AnswerLost, ending rank.Ending) {
+	if r.kind.Repeat && r.isRepeatable() && !answer.Passed && e.now.Before(r.deadline) {
+		r.key += "+"
+		e.retry(r, ending, 0)
+		return
+	}
+	e.free(r, ending)
+	e.settle(r)
+}
+
 // takeLost decides after a connection broke with an answer outstanding.
 func (e *Engine) takeLost(r *request, answer message.AnswerLost, ended message.AnswerEnded) {
 	e.probeGroup(r.group)
 	ending := endingOf(ended, true)
 	if answer.Committing && !r.isRead() {
-		e.free(r, ending)
-		e.settle(r)
+		e.takeLostCommit(r, answer, ending)
 		return
 	}
 	if answer.Passed {
