deploy: take instances' ports from below the range of outgoing connections

Cause: one of eighteen cases of the proof, run two deployments at a time, did not come up in its 60 s; why was not to be seen, since the error of a start held no logs. Most likely another connection took a port between its choice and the start of its instance: ports were chosen by listening on port 0, which gives one that outgoing connections use as well. That it was this is not proved. Change: ports are drawn from 20000 to 31999; a start that fails tells the end of each log, and fails at once where the first instance has ended.

--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -20,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -87,8 +88,24 @@
 	started []*Process
 }
 
+// StartError reports a deployment that did not come up.
+type StartError struct {
+	Cause error
+	// Logs holds the end of each process's log, in the order of their start.
+	Logs []string
+}
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return "start: " + e.Cause.Error() + "\n" + strings.Join(e.Logs, "\n")
+}
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
 // Start starts everything and returns when each instance has the manifest in
-// force and knows every primary. After an error nothing is left running.
+// force and knows every primary. After an error, a *StartError, nothing is left
+// running.
 func Start(ctx context.Context, options Options) (*Deployment, error) {
 	folder, err := os.MkdirTemp("", "eelgrassfold-")
 	if err != nil {
@@ -101,7 +118,7 @@
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			_ = d.Stop()
-			return nil, err
+			return nil, &StartError{Cause: err, Logs: d.tails()}
 		}
 	}
 	return d, nil
@@ -127,6 +144,15 @@
 	return first
 }
 
+// tails returns the end of each process's log.
+func (d *Deployment) tails() []string {
+	tails := make([]string, 0, len(d.started))
+	for _, process := range d.started {
+		tails = append(tails, "-- "+process.Name+"\n"+process.Tail())
+	}
+	return tails
+}
+
 // Processes returns all processes in the order of their start.
 func (d *Deployment) Processes() []*Process { return d.started }
 
@@ -266,13 +292,23 @@
 level = "%s"
 `
 
+// The ports of instances are drawn from below the range that Linux takes for
+// outgoing connections by default (from 32768 on), so that none of those takes a
+// port between its choice and the start, or the restart, of its instance.
+const (
+	lowestPort = 20000
+	portCount  = 12000
+	// portTries is the number of ports tried for one address.
+	portTries = 100
+)
+
 // freeAddresses returns loopback addresses that nothing listens on now.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, count)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := listenAnywhere()
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, err
 		}
 		defer func() { _ = listener.Close() }()
 		addresses[i] = listener.Addr().(*net.TCPAddr).AddrPort()
@@ -280,6 +316,22 @@
 	return addresses, nil
 }
 
+// listenAnywhere listens on a port drawn at random.
+func listenAnywhere() (net.Listener, error) {
+	var last error
+	for range portTries {
+		port := lowestPort + rand.IntN(portCount)
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(port)).String())
+		if err == nil {
+			return listener, nil
+		}
+		last = err
+	}
+	return nil, errors.WithStack(last)
+}
+
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
 // -----------------------------------------------------------------------------
 // Manifest and readiness.
 
@@ -299,8 +351,12 @@
 }
 
 func (d *Deployment) submitFirst(ctx context.Context) error {
+	in := d.Instances[0]
 	return Retry(ctx, func() error {
-		_, err := d.Submit(ctx, d.Instances[0], d.ManifestText(), 0)
+		if in.Process.HasEnded() {
+			return backoff.Permanent(&ProcessError{Name: in.Name, Why: "ended early"})
+		}
+		_, err := d.Submit(ctx, in, d.ManifestText(), 0)
 		return err
 	})
 }
--- a/internal/standin/proof/case_database_test.go
+++ b/internal/standin/proof/case_database_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
@@ -21,12 +22,26 @@
 	s.serves()
 }
 
-// replicaLeaves lets every statement at the replica fail once it has no work,
-// so that new work there would be seen by a caller.
 func replicaLeaves(s *stage) {
+	s.leaves(s.Databases[1], func() {
+		s.fail(s.Databases[1], database.FaultRequest{Fault: "leave", Grace: "30s"})
+	})
+}
+
+// replicaLeavesByManifest declares the departure; the database says nothing.
+func replicaLeavesByManifest(s *stage) {
 	leaving := s.Databases[1]
+	name := fmt.Sprintf("name = %q\n", leaving.Name)
+	text := strings.Replace(s.ManifestText(), name, name+"leaving = true\n", 1)
+	s.leaves(leaving, func() { s.equal("exit code", exitDone, s.submit(s.Instances[0], text, 1)) })
+}
+
+// leaves lets every statement at the replica fail once it has no work, so that
+// new work there would be seen by a caller.
+func (s *stage) leaves(leaving *deploy.Database, leave func()) {
+	s.Helper()
 	report := s.under(func() {
-		s.fail(leaving, database.FaultRequest{Fault: "leave", Grace: "30s"})
+		leave()
 		s.awaitNoWork(leaving)
 		s.fail(leaving, database.FaultRequest{Fault: "err", Share: 1})
 	})
--- a/internal/standin/proof/case_instance_test.go
+++ b/internal/standin/proof/case_instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
 )
 
@@ -27,6 +28,26 @@
 	}
 }
 
+// instancePaused pauses an instance before the primary is cut off, and lets it
+// go on when another primary is in its place: what it knows is out of date, and
+// the old primary still takes its connections.
+func instancePaused(s *stage) {
+	s.under(func() {
+		s.must(s.Instances[2].Process.Pause())
+		s.fail(s.Databases[0], database.FaultRequest{Fault: "isolate", From: []string{
+			string(s.Databases[1].Name), string(s.Databases[2].Name),
+		}})
+		s.await("a promotion", func() bool {
+			return s.state(s.Databases[1]).Role == "primary" || s.state(s.Databases[2]).Role == "primary"
+		})
+		s.must(s.Instances[2].Process.Resume())
+		s.awaitPromotion()
+		s.fail(s.Databases[0], database.FaultRequest{Fault: "none"})
+	})
+	s.serves()
+	s.awaitOneHistory()
+}
+
 func instanceTerminated(s *stage) {
 	s.endsCleanly(s.Instances[2].Process.Stop)
 }
@@ -54,7 +75,7 @@
 			report, err := s.Status(s.ctx, s.Instances[2])
 			return err == nil && report.Draining
 		})
-		s.execute(conn, "SELECT work('100ms')", "COMMIT")
+		s.execute(conn, "SELECT work('2s')", "COMMIT")
 		s.disconnect(conn)
 		s.must(<-ended)
 	})
--- a/internal/standin/proof/case_operator_test.go
+++ b/internal/standin/proof/case_operator_test.go
@@ -27,7 +27,9 @@
 func (s *stage) submit(in *deploy.Instance, text string, expected uint64) int {
 	s.Helper()
 	file := filepath.Join(s.TempDir(), "manifest.toml")
-	s.must(os.WriteFile(file, []byte(text), 0o600))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.Error(err)
+	}
 	_, err := s.Operate(s.ctx, in, "submit", file, "--expected", fmt.Sprint(expected))
 	return exitOf(err)
 }
--- a/internal/standin/proof/proof_test.go
+++ b/internal/standin/proof/proof_test.go
@@ -32,10 +32,13 @@
 	{"primary frozen and thawed", primaryFrozen},
 	{"primary isolated from its replicas", primaryIsolated},
 	{"connections silent", connectionsSilent},
+	{"transactions side by side", transactionsSideBySide},
 	{"instance killed in a transaction", instanceKilled},
+	{"instance paused through a change of primary", instancePaused},
 	{"instance ended by SIGTERM", instanceTerminated},
 	{"instance drained", instanceDrained},
 	{"replica leaves", replicaLeaves},
+	{"replica leaves by the manifest", replicaLeavesByManifest},
 	{"primary leaves", primaryLeaves},
 	{"instance restarted in an outage", restartInOutage},
 	{"primary killed in an outage", primaryKilledInOutage},
@@ -45,10 +48,19 @@
 	{"logbook", logbookTells},
 }
 
+// sideBySide is the number of deployments that run at once.
+const sideBySide = 2
+
 func TestProof(t *testing.T) {
 	binaries := build(t)
+	places := make(chan struct{}, sideBySide)
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { c.run(newStage(t, binaries)) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			t.Cleanup(func() { <-places })
+			c.run(newStage(t, binaries))
+		})
 	}
 }
 
--- a/internal/standin/proof/session_test.go
+++ b/internal/standin/proof/session_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 )
@@ -12,15 +13,22 @@
 // connect opens a caller's connection.
 func (s *stage) connect(in *deploy.Instance, parameters map[string]string) *pgx.Conn {
 	s.Helper()
+	conn, err := s.dial(in, parameters)
+	s.must(err)
+	return conn
+}
+
+func (s *stage) dial(in *deploy.Instance, parameters map[string]string) (*pgx.Conn, error) {
 	place := url.URL{Scheme: "postgres", User: url.User("proof"), Host: in.Callers.String(), Path: "/" + string(group)}
 	config, err := pgx.ParseConfig(place.String())
-	s.must(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for name, value := range parameters {
 		config.RuntimeParams[name] = value
 	}
 	conn, err := pgx.ConnectConfig(s.ctx, config)
-	s.must(err)
-	return conn
+	return conn, errors.WithStack(err)
 }
 
 func (s *stage) disconnect(conn *pgx.Conn) { _ = conn.Close(s.ctx) }
