Count the bytes of control connections and of the platform

The peer edge counts its bytes; the other two edges of the control traffic did not, so that its sum could not be set against its bound. The maps control and platform have sent.bytes and received.bytes now, counted at the connection (with TLS to the platform: below it). Nothing else changes.

--- a/internal/edge/group/connection.go
+++ b/internal/edge/group/connection.go
@@ -30,6 +30,23 @@
 	release func() bool
 }
 
+// countedConn counts the bytes of all control connections.
+type countedConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c countedConn) Read(body []byte) (int, error) {
+	n, err := c.Conn.Read(body)
+	counters.Add("received.bytes", int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(body []byte) (int, error) {
+	n, err := c.Conn.Write(body)
+	counters.Add("sent.bytes", int64(n))
+	return n, err
+}
+
 // target is where a database's control connections go.
 type target struct {
 	database model.DatabaseID
@@ -41,10 +58,11 @@
 // closes itself when ctx ends.
 func open(ctx context.Context, to target, options Options, expires time.Time) (*connection, error) {
 	dialer := net.Dialer{Deadline: expires}
-	conn, err := dialer.DialContext(ctx, "tcp", to.address.String())
+	dialed, err := dialer.DialContext(ctx, "tcp", to.address.String())
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	conn := countedConn{dialed}
 	c := &connection{conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
 	c.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	c.frontend.SetMaxBodyLen(maxAnswer)
--- a/internal/edge/platform/connection.go
+++ b/internal/edge/platform/connection.go
@@ -32,7 +32,16 @@
 	if sealed {
 		return 0, &SealedError{}
 	}
-	return c.Conn.Write(body)
+	n, err := c.Conn.Write(body)
+	counters.Add("sent.bytes", int64(n))
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(body []byte) (int, error) {
+	n, err := c.Conn.Read(body)
+	counters.Add("received.bytes", int64(n))
+	return n, err
 }
 
 func (c *countedConn) count() int {
--- a/internal/edge/platform/edge.go
+++ b/internal/edge/platform/edge.go
@@ -55,7 +55,8 @@
 	maxWaiting = 1024
 )
 
-// counters holds the number of answers by outcome.
+// counters holds the number of answers by outcome, and the bytes sent and
+// received.
 var counters = expvar.NewMap("platform")
 
 // Options are the settings of an Edge.
