Measure the idle cost of an instance

drill capacity starts deployments that differ in one number - instances, groups, names in the platform's list - lets them rest, and prints processor time, resident memory and control bytes of one instance with the least-squares slope of each series.

--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -49,6 +49,7 @@
 	{"manifest", "Time for a manifest to be in force on all instances.", &Manifest{}},
 	{"overhead", "Throughput and latency through one instance, against a database directly.", &Overhead{}},
 	{"idle", "Memory of idle callers' connections.", &Idle{}},
+	{"capacity", "Idle cost of an instance, and its slopes by instances, groups and listed names.", &Capacity{}},
 }
 
 // Main runs the experiment that the command line names and returns the exit
