--- a/internal/config/manifest/manifest_test.go
+++ b/internal/config/manifest/manifest_test.go
@@ -196,3 +196,39 @@
 		}
 	})
 }
+
+// -----------------------------------------------------------------------------
+// Cost by size.
+
+// BenchmarkParse measures reading a manifest by the number of its groups, of
+// three databases each.
+func BenchmarkParse(b *testing.B) {
+	for _, groups := range []int{3, 30, 300, 1133} {
+		body := []byte(wideManifest(groups))
+		b.Run(fmt.Sprint(groups), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				if _, err := Parse(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(body)), "bytes")
+		})
+	}
+}
+
+// wideManifest returns a manifest with that many groups.
+func wideManifest(groups int) string {
+	const head = "service = \"handicap-db\"\n[limits]\nslots = 3\nconnections = 20\nreserve = 4\n" +
+		"[[rank]]\nname = \"urgent\"\ntarget = \"200ms\"\nworth = 10\nfloor = 0.5\n"
+	var text strings.Builder
+	text.WriteString(head)
+	for i := range groups {
+		fmt.Fprintf(&text, "[[group]]\nname = \"ratings-%d\"\n", i+1)
+		for j, zone := range []string{"lanier", "savannah", "allatoona"} {
+			fmt.Fprintf(&text, "[[group.database]]\nname = \"ratings-%d-%d\"\nzone = %q\naddress = \"10.%d.%d.%d:5432\"\n",
+				i+1, j+1, zone, j, i/250, i%250)
+		}
+	}
+	return text.String()
+}
