Use the room for a read's candidates again

Ruled out: keeping the list over calls; it depends on time and on what other reads have learnt.

Change: the engine keeps the room of both lists. The scheduler uses a list before it asks for the next one.

--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -93,6 +93,9 @@
 	// control systems ran at controlled.
 	learned    bool
 	controlled time.Time
+	// ready and names are the room for the candidates of one read.
+	ready []*database
+	names []model.DatabaseID
 }
 
 // NewEngine returns the state of an instance that has no manifest yet.
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// candidates names the databases that may serve a work now, the best first.
+// candidates names the databases that may serve a work now, the best first. The
+// list is valid until the next call.
 func (e *Engine) candidates(work rank.Work) []model.DatabaseID {
 	r, found := e.requests.byID[work.Request]
 	if !found || e.now.Before(r.notBefore) {
@@ -99,13 +100,14 @@
 	if len(ready) > 0 && e.now.Sub(r.arrived) < e.patience(r) {
 		primary = nil
 	}
-	names := make([]model.DatabaseID, 0, len(ready)+1)
+	names := e.names[:0]
 	for _, d := range ready {
 		names = append(names, d.name)
 	}
 	if primary != nil {
 		names = append(names, primary.name)
 	}
+	e.names = names
 	if len(names) > 0 {
 		r.why = message.RefuseDeadline
 	}
@@ -166,9 +168,10 @@
 }
 
 // readyReplicas returns the replicas that should show the minimum by now, the
-// best first, and the time at which the first of the others should.
+// best first, and the time at which the first of the others should. The list is
+// valid until the next call.
 func (e *Engine) readyReplicas(r *request) ([]*database, time.Time) {
-	var ready []*database
+	ready := e.ready[:0]
 	var soonest time.Time
 	if r.behind >= maxBehind {
 		return nil, soonest
@@ -186,6 +189,7 @@
 			soonest = due
 		}
 	}
+	e.ready = ready
 	slices.SortStableFunc(ready, func(a, b *database) int {
 		switch {
 		case e.isBetter(a, b):
