Look at the candidates of new work once in a step

Cause: new work was classified, entered in the list of what is looked at again, and looked at again in the same step; where the instance is the arbiter, once more in the second pairing. The engine's answer can't differ within a step. The list was sliced from the front, so that each step allocated it anew.

Change: only what waited before is looked at again, and the second pairing goes on with what the first did not reach. The list keeps its room.

--- a/internal/core/rank/group.go
+++ b/internal/core/rank/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
@@ -192,8 +193,10 @@
 // Classification by set of databases.
 
 // classify puts fresh items into their lanes, and looks again at a bounded
-// number of those that wait.
-func (g *group) classify(q *queue, candidates Candidates) {
+// number of those that waited before; as many as looked were looked at in this
+// step already.
+func (g *group) classify(q *queue, candidates Candidates, looked int) {
+	again := min(rechecksPerGrant, max(0, len(q.recheck)-looked))
 	for _, it := range q.fresh {
 		if it.waiting {
 			g.place(q, it, g.maskOf(candidates(it.work)))
@@ -202,16 +205,15 @@
 	}
 	clear(q.fresh)
 	q.fresh = q.fresh[:0]
-	for range min(rechecksPerGrant, len(q.recheck)) {
-		it := q.recheck[0]
-		q.recheck[0] = nil
-		q.recheck = q.recheck[1:]
+	for i := range again {
+		it := q.recheck[i]
 		if !it.waiting {
 			continue
 		}
 		g.place(q, it, g.maskOf(candidates(it.work)))
 		q.recheck = append(q.recheck, it)
 	}
+	q.recheck = slices.Delete(q.recheck, 0, again)
 }
 
 // place puts an item into the lane of mask.
@@ -229,12 +231,13 @@
 // -----------------------------------------------------------------------------
 // Pairing.
 
-// grantGroup pairs the waiting work of a group until nothing fits.
-func (s *Scheduler) grantGroup(now time.Time, g *group, candidates Candidates) {
+// grantGroup pairs the waiting work of a group until nothing fits. In this step,
+// as many requests of each rank as looked were looked at before.
+func (s *Scheduler) grantGroup(now time.Time, g *group, candidates Candidates, looked int) {
 	waiting := 0
 	for _, q := range g.queues {
 		if q.waiting > 0 {
-			g.classify(q, candidates)
+			g.classify(q, candidates, looked)
 		}
 		waiting += q.waiting
 	}
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -319,10 +319,10 @@
 	s.grants, s.now = nil, now
 	s.peers.refresh(now)
 	for _, g := range s.sequence {
-		s.grantGroup(now, g, candidates)
+		s.grantGroup(now, g, candidates, 0)
 		s.outbox = append(s.outbox, g.leasing.messages(s, now, g)...)
 		if g.leasing.arbiter != nil {
-			s.grantGroup(now, g, candidates)
+			s.grantGroup(now, g, candidates, rechecksPerGrant)
 		}
 	}
 	return s.grants
