--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -50,6 +50,7 @@
 	{"overhead", "Throughput and latency through one instance, against a database directly.", &Overhead{}},
 	{"flood", "Service by rank while one kind of work floods in.", &Flood{}},
 	{"idle", "Memory of idle callers' connections.", &Idle{}},
+	{"capacity", "Idle cost of an instance, and its slopes by instances, groups and listed names.", &Capacity{}},
 }
 
 // Main runs the experiment that the command line names and returns the exit
