--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -336,8 +336,11 @@
 // Manifest and readiness.
 
 // ManifestText returns the manifest for what was started.
-func (d *Deployment) ManifestText() string {
-	text := d.options.Manifest
+func (d *Deployment) ManifestText() string { return d.options.Manifest + d.GroupsText() }
+
+// GroupsText returns the part of the manifest that declares the groups.
+func (d *Deployment) GroupsText() string {
+	text := ""
 	for _, group := range d.options.Groups {
 		text += fmt.Sprintf("[[group]]\nname = %q\n", group)
 		for _, database := range d.Databases {
--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -90,47 +90,6 @@
 // -----------------------------------------------------------------------------
 // Common parts.
 
-// manifestHead is the manifest of the experiments up to its groups: slots and
-// connections as the Consortium has them.
-const manifestHead = `service = "handicap-db"
-[limits]
-slots = 3
-connections = 20
-reserve = 4
-open = "12ms"
-[[rank]]
-name = "urgent"
-target = "200ms"
-worth = 10
-floor = 0.2
-[[rank]]
-name = "ordinary"
-target = "500ms"
-worth = 3
-floor = 0.2
-[[rank]]
-name = "background"
-target = "5s"
-worth = 1
-floor = 0.1
-[[kind]]
-name = "post"
-rank = "urgent"
-access = "write"
-deadline = "8s"
-[[kind]]
-name = "check"
-rank = "ordinary"
-access = "read"
-deadline = "8s"
-[[kind]]
-name = "pull"
-rank = "background"
-access = "read"
-stale = "10s"
-deadline = "10s"
-`
-
 const group = model.GroupID("ratings")
 
 var zones = []model.ZoneID{"lanier", "savannah", "allatoona"}
@@ -140,7 +99,7 @@
 
 // start starts a deployment of one group.
 func start(ctx context.Context, binaries string, instances int, database ...string) (*deploy.Deployment, error) {
-	return startWith(ctx, binaries, manifestHead, instances, database...)
+	return startWith(ctx, binaries, deploy.Manifest, instances, database...)
 }
 
 // startWith starts a deployment of one group under a manifest of its own.
--- a/internal/standin/drill/experiment_capacity.go
+++ b/internal/standin/drill/experiment_capacity.go
@@ -104,7 +104,7 @@
 		names = append(names, model.GroupID(fmt.Sprintf("%s-%d", group, i+1)))
 	}
 	d, err := deploy.Start(starting, deploy.Options{
-		Binaries: binaries, Zones: zones, Groups: names, Instances: instances, Manifest: manifestHead, Log: "warn",
+		Binaries: binaries, Zones: zones, Groups: names, Instances: instances, Manifest: deploy.Manifest, Log: "warn",
 	})
 	if err != nil {
 		return idleCost{}, err
--- a/internal/standin/drill/experiment_flood.go
+++ b/internal/standin/drill/experiment_flood.go
@@ -134,7 +134,7 @@
 func (f *Flood) start(ctx context.Context, binaries string, p place) (*deploy.Deployment, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	head := strings.Replace(manifestHead, "slots = 3\nconnections = 20",
+	head := strings.Replace(deploy.Manifest, "slots = 3\nconnections = 20",
 		fmt.Sprintf("slots = %d\nconnections = %d", p.slots, p.connections), 1)
 	return deploy.Start(ctx, deploy.Options{
 		Binaries: binaries, Zones: p.zones, Groups: []model.GroupID{group}, Instances: f.Instances,
--- a/internal/standin/proof/stage_test.go
+++ b/internal/standin/proof/stage_test.go
@@ -32,35 +32,6 @@
 	beforeFault = 20
 )
 
-// manifestHead is the manifest up to its groups.
-const manifestHead = `service = "handicap-db"
-[limits]
-slots = 3
-connections = 20
-reserve = 4
-open = "12ms"
-[[rank]]
-name = "urgent"
-target = "200ms"
-worth = 10
-floor = 0.2
-[[rank]]
-name = "ordinary"
-target = "500ms"
-worth = 3
-floor = 0.2
-[[kind]]
-name = "post"
-rank = "urgent"
-access = "write"
-deadline = "8s"
-[[kind]]
-name = "check"
-rank = "ordinary"
-access = "read"
-deadline = "8s"
-`
-
 // stage is one case's deployment: three databases of one group, the first of
 // them primary, and three instances.
 type stage struct {
@@ -75,7 +46,7 @@
 	t.Cleanup(cancel)
 	d, err := deploy.Start(ctx, deploy.Options{
 		Binaries: binaries, Zones: []model.ZoneID{"lanier", "savannah", "allatoona"},
-		Groups: []model.GroupID{group}, Instances: 3, Manifest: manifestHead,
+		Groups: []model.GroupID{group}, Instances: 3, Manifest: deploy.Manifest,
 	})
 	if err != nil {
 		t.Fatal(err)
