--- a/internal/core/engine/system_member.go
+++ b/internal/core/engine/system_member.go
@@ -161,6 +161,9 @@
 			entry.alive = false
 			e.instances.changed = true
 			e.note(event.InstanceGone, event.F("instance", entry.id), event.F("silent", silent.String()))
+			if entry.leaving {
+				e.scheduler.Forget(e.now, entry.id)
+			}
 		}
 		if !entry.alive && !entry.listed && !entry.heard.IsZero() && silent > instanceKept {
 			delete(e.instances.byID, entry.id)
