Collect garbage half as often

Cause: under load the collector takes a twelfth of the instance's processor time (profile at 64 connections: collection 5%, assists of allocations 2.5%), since the heap in use is small.

Weighed: 400 is no better than 200 under load and costs 18.4 KB a connection at 1,000 idle connections, close to the bound of 20 KB.

Change: the heap may grow by 200% of what is in use, unless GOGC is set.

--- a/internal/node/serve/serve.go
+++ b/internal/node/serve/serve.go
@@ -49,6 +49,7 @@
 // Run runs an instance until it has drained, a part fails, a second signal
 // comes or ctx ends.
 func Run(ctx context.Context, options Options) error {
+	relaxCollector()
 	ends := make(chan partEnd, maxParts)
 	var made assembly
 	app := fx.New(
