Close the idle connections that went silent with one that was found silent

Cause: with all connections of a database silent, a caller whose statement ended on one after 1.1 s was given the next silent one out of the pool, and waited again: reads took twice that. Ruled out: an empty query before each use, which costs the way of every statement. Change: a connection that is closed as silent takes with it those of its database that are idle since before its statement was sent. Those used since are spared, so that a single silent connection leaves the busy ones open. A write still waits twice where its connection to ask for the outcome is silent too.

--- a/internal/edge/caller/patience.go
+++ b/internal/edge/caller/patience.go
@@ -240,9 +240,11 @@
 	}
 }
 
-// closeSilent gives up a connection on which nothing runs and nothing comes.
+// closeSilent gives up a connection on which nothing runs and nothing comes,
+// and with it the idle ones that may have gone silent before it.
 func (y *relay) closeSilent(now time.Time) result {
 	silentClosed.Add(1)
+	y.s.edge.pool.Distrust(y.r.conn, y.times.heard)
 	y.s.edge.note(event.ConnectionSilent,
 		"session", y.s.id, "request", y.r.id, "database", y.r.dispatch.Database,
 		"silence", now.Sub(y.times.heard))
--- a/internal/edge/database/pool.go
+++ b/internal/edge/database/pool.go
@@ -146,6 +146,11 @@
 	c.subpool.forget()
 }
 
+// Distrust closes the idle connections to the database of c that were not used
+// after since: c was found silent, and whatever has lost track of it has most
+// likely lost track of those as well. The ones used later are spared.
+func (p *Pool) Distrust(c *Conn, since time.Time) { c.subpool.closeIdle(since) }
+
 func (p *Pool) subpool(database model.DatabaseID) *subpool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/database/pool_test.go
+++ b/internal/edge/database/pool_test.go
@@ -301,3 +301,24 @@
 	}
 	pool.Release(again)
 }
+
+// TestDistrust gives two connections back, one of them after the time that the
+// silence began: that one alone is used again.
+func TestDistrust(t *testing.T) {
+	s := newServer(t)
+	pool := newPool(t, s)
+	before, after := take(t, pool), take(t, pool)
+	pool.Release(before)
+	since := time.Now()
+	pool.Release(after)
+	pool.Distrust(after, since)
+	first, second := take(t, pool), take(t, pool)
+	if first != after || second == before {
+		t.Errorf("used again: the later one %v, the earlier one %v", first == after, second == before)
+	}
+	if diff := cmp.Diff(3, s.count()); diff != "" {
+		t.Error(diff)
+	}
+	pool.Release(first)
+	pool.Release(second)
+}
