Check the staleness bound with sessions that bring an old token

Cause: with the bound ignored no cell turned red: every session of the matrix was new and waited for a barrier, or brought a fresh token. Change: reads that bear 2 s come with the token of the first write as well.

--- a/internal/core/engine/matrix_test.go
+++ b/internal/core/engine/matrix_test.go
@@ -372,6 +372,13 @@
 		if before := w.callers[i]; before.result == resultDone && before.kind == "post" {
 			w.call(n, "check", "", before.token).after = before
 			w.callRoaming(n, "check", before.token).after = before
+			break
+		}
+	}
+	// With an old token, only the bound of 2 s asks for newer states.
+	for _, first := range w.callers {
+		if first.result == resultDone && first.kind == "post" {
+			w.call(n, "pull", "", first.token)
 			return
 		}
 	}
