--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -121,8 +121,12 @@
 		Number: 1, Digest: manifest.Digest([]byte(testManifest)), Body: []byte(testManifest),
 	}})
 	w.run(time.Second)
+	again.post(message.PeerHeard{From: "i9", Body: message.ManifestOffer{
+		Number: 9, Digest: manifest.Digest([]byte(testManifest)), Body: []byte(testManifest + "# changed on the way\n"),
+	}})
+	w.run(time.Second)
 	if again.number != 2 {
-		t.Errorf("manifest in force = %d after a lower one was offered, want 2", again.number)
+		t.Errorf("manifest in force = %d after a lower and a changed one were offered, want 2", again.number)
 	}
 }
 
--- a/internal/core/engine/world_test.go
+++ b/internal/core/engine/world_test.go
@@ -383,7 +383,11 @@
 // take keeps the log lines of promotions, terms and manifests.
 func (n *node) take(note message.Note) {
 	if note.Event.Name == "manifest-in-force" {
-		n.number = note.Fields[0].Value.(uint64)
+		number := note.Fields[0].Value.(uint64)
+		if number <= n.number {
+			n.world.t.Errorf("%s: manifest %d came into force after %d", n.name, number, n.number)
+		}
+		n.number = number
 	}
 	line := fmt.Sprintf("%s %d %s", n.name, note.Event.Number, note.Event.Name)
 	for _, field := range note.Fields {
