Step the engine on the goroutine of the request

Cause: a statement crossed two goroutines more than it needs: its session woke the loop, and the loop woke the session with the decision. On a busy machine each wake waits its turn. In the profile at 64 connections the runtime's scheduling takes 15% of the instance's processor time.

Ruled out: limits and leases (trial with fixed limits, the same throughput), the loop as the bound (60% of one processor at 37,000 reads a second).

Change: the event of a request steps the engine where it is posted, unless another goroutine is stepping it; then the loop does, as before. One goroutine at a time still steps the engine, all events in the order of their arrival. Sessions hold no lock when they post, and an edge that posts from inside a step only queues.

--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -8,8 +8,9 @@
 // timers run. The actions flow out to the attached edges, in order; Note
 // becomes a log line, and Leave ends the loop.
 //
-// One goroutine alone steps the engine: the core needs no locks, and what it
-// decides depends on the order of its events only.
+// One goroutine at a time steps the engine: the core needs no locks, and what it
+// decides depends on the order of its events only. That is the loop's goroutine,
+// or the one that posts the event of a request while nobody else steps.
 //
 // # Usage
 //
@@ -84,6 +85,13 @@
 
 	mu      sync.Mutex
 	waiting []message.Event
+
+	// stepping is held by the goroutine that steps the engine. It guards what
+	// follows.
+	stepping sync.Mutex
+	running  bool
+	// room is the room for the next events.
+	room []message.Event
 }
 
 // NewRunner returns a runner of engine, with acts to hand its actions to.
@@ -111,17 +119,36 @@
 // be called before Start.
 func (r *Runner) Attach(acts ...Act) { r.acts = append(r.acts, acts...) }
 
-// Post implements message.Sink.
+// Post implements message.Sink. The event of a request steps the engine at once
+// on the goroutine of its session, unless another one is stepping it: that spares
+// the way to the loop's goroutine and back. Sessions hold no lock when they post.
 func (r *Runner) Post(event message.Event) {
 	r.mu.Lock()
 	r.waiting = append(r.waiting, event)
 	r.mu.Unlock()
+	if isOfRequest(event) && r.stepping.TryLock() {
+		began := r.running
+		r.turn()
+		r.stepping.Unlock()
+		if began {
+			return
+		}
+	}
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
+// isOfRequest reports whether the event is one that a caller waits for.
+func isOfRequest(event message.Event) bool {
+	switch event.(type) {
+	case message.RequestArrived, message.AnswerEnded:
+		return true
+	}
+	return false
+}
+
 // Left is closed when the core has said that the instance may end.
 func (r *Runner) Left() <-chan struct{} { return r.left }
 
@@ -139,21 +166,48 @@
 func (r *Runner) run(ctx context.Context) {
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
-	var room []message.Event
+	defer r.end()
+	r.begin()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.left:
+			return
 		case <-r.wake:
 		case <-ticker.C:
 		}
-		events := r.take(room)
-		if r.step(events) {
-			close(r.left)
-			return
-		}
-		room = recycle(events)
+		r.stepping.Lock()
+		r.turn()
+		r.stepping.Unlock()
+	}
+}
+
+// begin lets posting goroutines step the engine.
+func (r *Runner) begin() {
+	r.stepping.Lock()
+	defer r.stepping.Unlock()
+	r.running = true
+}
+
+// end waits for a step in progress and allows no further one.
+func (r *Runner) end() {
+	r.stepping.Lock()
+	defer r.stepping.Unlock()
+	r.running = false
+}
+
+// turn steps the engine with all events that wait. The caller holds stepping.
+func (r *Runner) turn() {
+	if !r.running {
+		return
+	}
+	events := r.take(r.room)
+	if r.step(events) {
+		r.running = false
+		close(r.left)
 	}
+	r.room = recycle(events)
 }
 
 // take returns the events that wait and leaves room in their place.
