Give the databases a connection for each measured instance

With the limit of 20 connections the 21st of 32 instances and those after it could not ask any database, and the deployment did not become ready: control connections count against the limit. The experiment raises the limit with the number of instances, to measure what lies beyond.

--- a/internal/standin/drill/experiment_capacity.go
+++ b/internal/standin/drill/experiment_capacity.go
@@ -94,6 +94,11 @@
 	return c.measureIdle(ctx, binaries, 1, 1, number)
 }
 
+// spareConnections is the number of connections that a database takes beside
+// one control connection of each instance: with 20 as in the manifest, the 21st
+// instance can't ask a database anything.
+const spareConnections = 20
+
 // measureIdle starts a deployment, lets it rest and measures it.
 func (c *Capacity) measureIdle(ctx context.Context, binaries string, instances, groups, listed int) (idleCost, error) {
 	const startEach = 4 * time.Second
@@ -105,6 +110,7 @@
 	}
 	d, err := deploy.Start(starting, deploy.Options{
 		Binaries: binaries, Zones: zones, Groups: names, Instances: instances, Manifest: manifestHead, Log: "warn",
+		Database: []string{"--connections", fmt.Sprint(spareConnections + instances)},
 	})
 	if err != nil {
 		return idleCost{}, err
