--- a/internal/standin/drill/experiment_capacity.go
+++ b/internal/standin/drill/experiment_capacity.go
@@ -95,8 +95,8 @@
 }
 
 // spareConnections is the number of connections that a database takes beside
-// one control connection of each instance: with 20 as in the manifest, the 21st
-// instance can't ask a database anything.
+// one control connection of each instance. With 20 in all, as in the manifest,
+// the last of 32 instances can't ask a database anything.
 const spareConnections = 20
 
 // measureIdle starts a deployment, lets it rest and measures it.
