Leave room for control connections in the budget of connections

Cause: an instance's two control connections to each database count against the database's limit, but the budget of work took the whole of it: at the users' own sizes 6 instances came to 24 of 20, and 7 to 35 of 30. An instance that starts then is refused its control connections; with 32 instances before a limit of 20 three never served and a primary was changed without a fault. Ruled out: the reserve (4 of 20 is not enough for 12). Change: two connections of each share are kept for control. Figures: TestControlConnectionsFit: '24 connections of 20' and '35 connections of 30' before, passes after. The price: 1 connection an instance and database for work at both sizes, where it was 2 and 3. Conclusion: kept; 7 instances before a limit of 20 come to 21 by this count (the second control connection to a primary is never opened).

--- a/internal/core/rank/lease_test.go
+++ b/internal/core/rank/lease_test.go
@@ -317,3 +317,32 @@
 		t.Fatalf("%d connections of %d", sum, budget)
 	}
 }
+
+// TestControlConnectionsFit counts what the instances of both deployments hold
+// to one database together: their budgets and their control connections.
+func TestControlConnectionsFit(t *testing.T) {
+	cases := map[string]struct{ connections, reserve, instances int }{
+		"20 connections, 6 instances": {connections: 20, reserve: 4, instances: 6},
+		"30 connections, 7 instances": {connections: 30, reserve: 4, instances: 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := testManifest()
+			m.Limits.Connections, m.Limits.Reserve = c.connections, c.reserve
+			var all []model.InstanceID
+			for n := range c.instances {
+				all = append(all, model.InstanceID(fmt.Sprint("i", n)))
+			}
+			sum := 0
+			for _, id := range all {
+				s := NewScheduler(id)
+				s.Configure(start, m)
+				s.SetPeers(start, all)
+				sum += s.Connections("a") + controlConnections
+			}
+			if sum > c.connections {
+				t.Errorf("%d connections of %d", sum, c.connections)
+			}
+		})
+	}
+}
--- a/internal/core/rank/limit.go
+++ b/internal/core/rank/limit.go
@@ -266,16 +266,21 @@
 	return len(s.peers.known) <= 1 && s.now.Sub(s.born) < joinTime
 }
 
+// controlConnections is the number of connections that an instance holds to each
+// database for control: one for questions, one that waits for positions.
+const controlConnections = 2
+
 // Connections returns the connections to a database that this instance may
-// have open, at least one. One share more than there are known instances is
-// counted, and a newcomer has one connection only, so that an instance that
-// joins does not take the total above the limit.
+// have open for work, at least one. One share more than there are known instances
+// is counted, and a newcomer has one connection only, so that an instance that
+// joins does not take the total above the limit; and each share has room for the
+// instance's control connections, without which it could not serve at all.
 func (s *Scheduler) Connections(model.DatabaseID) int {
 	if s.isNewcomer() {
 		return 1
 	}
 	budget := max(0, s.limits.Connections-s.limits.Reserve)
-	return max(1, budget/(len(s.peers.known)+1))
+	return max(1, budget/(len(s.peers.known)+1)-controlConnections)
 }
 
 // perInstance returns the slots of d that one instance may use at once.
