Pause before a read tries a primary that is itself behind

Cause: a token ahead of the group (forged, or of a primary that is still unknown here) sent its read to the primary again and again without a pause. Change: 50 ms with jitter between such tries, and the databases are asked; the refusal at the deadline says 'stale'.

--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -166,3 +166,20 @@
 		})
 	}
 }
+
+// TestTokenAheadOfTheGroup reads with a token that no database has reached: the
+// read is refused as too old at its deadline, and does not keep the primary busy
+// meanwhile.
+func TestTokenAheadOfTheGroup(t *testing.T) {
+	w := newWorld(t, 1)
+	ahead := model.Token{Group: "ratings", Position: model.Position{Term: 1, Offset: 1 << 40}}
+	read := w.call(w.node("i1"), "check", "", ahead)
+	w.run(10 * time.Second)
+	if read.result != resultNotRun || read.why != "stale" {
+		t.Errorf("read = %s %s, want not run, stale", read.result, read.why)
+	}
+	const bound = 200
+	if read.attempts > bound {
+		t.Errorf("%d attempts, want at most %d", read.attempts, bound)
+	}
+}
--- a/internal/core/engine/system_answer.go
+++ b/internal/core/engine/system_answer.go
@@ -15,6 +15,9 @@
 	// unreachablePause is the time for which a database that could not be
 	// reached gets no work.
 	unreachablePause = 300 * time.Millisecond
+	// behindPause is the pause before another try after the primary itself was
+	// found behind.
+	behindPause = 50 * time.Millisecond
 	// budgetPause is the pause before another try while the group's budget of
 	// retries is spent: the request waits on, without adding to a storm.
 	budgetPause = 300 * time.Millisecond
@@ -101,7 +104,14 @@
 	r.behind++
 	r.database.applied = r.database.applied.Max(answer.Position)
 	r.database.lag = max(r.database.lag+r.database.lag/4, e.now.Sub(r.minimumAt)) + time.Millisecond
-	e.again(r, endingOf(ended, false), 0)
+	pause := time.Duration(0)
+	if r.database == r.group.primary {
+		// The session has seen a state that this primary has not reached: another
+		// one reigns, or the token is not of this group.
+		pause = e.jitter(behindPause)
+		e.probeGroup(r.group)
+	}
+	e.again(r, endingOf(ended, false), pause)
 }
 
 // takeRefused runs a request again that was not started.
--- a/internal/core/engine/system_schedule.go
+++ b/internal/core/engine/system_schedule.go
@@ -22,7 +22,7 @@
 func (e *Engine) runSchedule() {
 	for _, id := range e.scheduler.Expired(e.now) {
 		if r, found := e.requests.byID[id]; found {
-			e.refuseRequest(r, rank.Refusal{Why: r.why, Detail: "the deadline ended before the work could be sent"})
+			e.refuseRequest(r, rank.Refusal{Why: r.missing(), Detail: "the deadline ended before the work could be sent"})
 		}
 	}
 	for _, g := range e.groups {
@@ -47,6 +47,14 @@
 	}
 }
 
+// missing tells what the request lacked at its deadline.
+func (r *request) missing() message.RefuseWhy {
+	if r.behind >= maxBehind {
+		return message.RefuseStale
+	}
+	return r.why
+}
+
 // probeWanted asks at once for the sample that a waiting read wants.
 func (e *Engine) probeWanted(g *group) {
 	if g.wanting.IsZero() {
