--- a/internal/standin/drill/experiment_flood.go
+++ b/internal/standin/drill/experiment_flood.go
@@ -48,10 +48,14 @@
 	access model.Access
 	part   float64
 	target time.Duration
+	// deadline is told with each statement. A long one would let late work hold
+	// all of the callers' connections, so that the wait for one of them, which
+	// counts from the arrival, hides how soon the instances answer.
+	deadline time.Duration
 }{
-	{"post", model.AccessWrite, 0.1, 200 * time.Millisecond},
-	{"check", model.AccessRead, 0.2, 500 * time.Millisecond},
-	{"pull", model.AccessRead, 0.15, 5 * time.Second},
+	{"post", model.AccessWrite, 0.1, 200 * time.Millisecond, time.Second},
+	{"check", model.AccessRead, 0.2, 500 * time.Millisecond, 2 * time.Second},
+	{"pull", model.AccessRead, 0.15, 5 * time.Second, 10 * time.Second},
 }
 
 // Run implements Experiment.
@@ -91,7 +95,7 @@
 		if kind.name == flood {
 			rate += max(0, times-steady) * capacity
 		}
-		kinds = append(kinds, load.Kind{Name: kind.name, Access: kind.access, Rate: rate, Target: kind.target})
+		kinds = append(kinds, load.Kind{Name: kind.name, Access: kind.access, Rate: rate, Target: kind.target, Deadline: kind.deadline})
 	}
 	options := load.Options{
 		Addresses: callerAddresses(d), Group: group, User: "drill", Connections: f.Clients, Kinds: kinds,
