--- a/internal/standin/flood/figures.go
+++ b/internal/standin/flood/figures.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
 )
 
 // -----------------------------------------------------------------------------
