--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -221,18 +221,3 @@
 	drawn := xxhash.Sum64String(e.options.Start+strconv.FormatUint(e.draws, 10)) % steps
 	return d/2 + d*time.Duration(drawn)/steps
 }
-
-// IsIdle reports whether nothing is urgent: no request is open, and neither a
-// change of primary, a submission nor a shutdown is under way. The control
-// systems may then run less often.
-func (e *Engine) IsIdle() bool {
-	if len(e.requests.byID) > 0 || len(e.declared.submits) > 0 || e.drain.started {
-		return false
-	}
-	for _, g := range e.groups {
-		if g.steward.step != conductNone || !g.steward.lost.IsZero() {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -38,8 +38,6 @@
 const (
 	// defaultTick is the longest time between two steps.
 	defaultTick = 5 * time.Millisecond
-	// defaultRest is that time while the engine is idle.
-	defaultRest = 25 * time.Millisecond
 	// maxKept bounds the room for events that is kept after a burst.
 	maxKept = 4096
 )
@@ -61,10 +59,6 @@
 	Step(now time.Time, events []message.Event) []message.Action
 }
 
-// Idler is an engine that tells when nothing is urgent: no request is open and no
-// change of primary is under way. It is then stepped each Options.Rest only.
-type Idler interface{ IsIdle() bool }
-
 // Act takes an action and reports whether it is one that it handles. It must
 // not block.
 type Act func(action message.Action) bool
@@ -73,8 +67,6 @@
 type Options struct {
 	// Tick is the longest time between two steps.
 	Tick time.Duration
-	// Rest is that time while the engine is idle.
-	Rest time.Duration
 	// Lines is the number of log lines that one event may write in a second.
 	Lines int
 	// Now is the clock.
@@ -98,9 +90,6 @@
 	// follows.
 	stepping sync.Mutex
 	running  bool
-	// pace is the longest time between two steps now; ticking is that of the
-	// loop's ticker, which follows.
-	pace, ticking time.Duration
 	// room is the room for the next events.
 	room []message.Event
 }
@@ -110,9 +99,6 @@
 	if options.Tick == 0 {
 		options.Tick = defaultTick
 	}
-	if options.Rest == 0 {
-		options.Rest = max(defaultRest, options.Tick)
-	}
 	if options.Lines == 0 {
 		options.Lines = eventlog.DefaultLimit
 	}
@@ -143,9 +129,8 @@
 	if isOfRequest(event) && r.stepping.TryLock() {
 		began := r.running
 		r.turn()
-		isTooSlow := r.pace < r.ticking
 		r.stepping.Unlock()
-		if began && !isTooSlow {
+		if began {
 			return
 		}
 	}
@@ -194,10 +179,6 @@
 		}
 		r.stepping.Lock()
 		r.turn()
-		if r.ticking != r.pace {
-			r.ticking = r.pace
-			ticker.Reset(r.pace)
-		}
 		r.stepping.Unlock()
 	}
 }
@@ -207,7 +188,6 @@
 	r.stepping.Lock()
 	defer r.stepping.Unlock()
 	r.running = true
-	r.pace, r.ticking = r.options.Tick, r.options.Tick
 }
 
 // end waits for a step in progress and allows no further one.
@@ -228,10 +208,6 @@
 		close(r.left)
 	}
 	r.room = recycle(events)
-	r.pace = r.options.Tick
-	if idler, ok := r.engine.(Idler); ok && idler.IsIdle() {
-		r.pace = r.options.Rest
-	}
 }
 
 // take returns the events that wait and leaves room in their place.
