--- a/internal/edge/caller/standin_test.go
+++ b/internal/edge/caller/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"database/sql"
 	"net"
 	"net/netip"
 	"runtime"
@@ -12,8 +13,11 @@
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
+	// The driver for database/sql.
+	_ "github.com/jackc/pgx/v5/stdlib"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -107,6 +111,89 @@
 	}
 }
 
+// openSQL opens the edge by database/sql with ordinary settings.
+func openSQL(t *testing.T, edge *Edge) *sql.DB {
+	t.Helper()
+	pool, err := sql.Open("pgx", "postgres://officer@"+edge.Address().String()+"/ratings?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = pool.Close() })
+	return pool
+}
+
+// TestStandinSQL runs transactions of database/sql through the edge: what is
+// committed can be read, what is rolled back can't, and an error leaves the
+// connection usable.
+func TestStandinSQL(t *testing.T) {
+	edge, _ := newStandinBench(t, 3)
+	pool, ctx := openSQL(t, edge), context.Background()
+	for _, ending := range []func(*sql.Tx) error{(*sql.Tx).Rollback, (*sql.Tx).Commit} {
+		tx, err := pool.BeginTx(ctx, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got string
+		err = tx.QueryRowContext(ctx, "SELECT value FROM kv WHERE key = $1", "boat").Scan(&got)
+		if diff := cmp.Diff(sql.ErrNoRows, err, cmpopts.EquateErrors()); diff != "" {
+			t.Error(diff)
+		}
+		if _, err = tx.ExecContext(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "boat", "4.5"); err != nil {
+			t.Fatal(err)
+		}
+		if err = ending(tx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := pool.ExecContext(ctx, "SELECT value FROM nowhere")
+	if stateOf(err) == "" {
+		t.Error("no SQLSTATE: ", err)
+	}
+	var got string
+	err = pool.QueryRowContext(ctx, "SELECT value FROM kv WHERE key = $1", "boat").Scan(&got)
+	if diff := cmp.Diff("4.5", got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// TestStandinSQLPrepared runs one prepared statement of database/sql from many
+// goroutines, over more connections than there are to the database.
+func TestStandinSQLPrepared(t *testing.T) {
+	edge, _ := newStandinBench(t, 3)
+	pool, ctx := openSQL(t, edge), context.Background()
+	if _, err := pool.ExecContext(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "boat", "4.5"); err != nil {
+		t.Fatal(err)
+	}
+	prepared, err := pool.PrepareContext(ctx, "SELECT value FROM kv WHERE key = $1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = prepared.Close() }()
+	const clients, rounds = 8, 20
+	values := make(chan string, clients*rounds)
+	var running sync.WaitGroup
+	for range clients {
+		running.Go(func() {
+			for range rounds {
+				var got string
+				if err := prepared.QueryRowContext(ctx, "boat").Scan(&got); err != nil {
+					got = err.Error()
+				}
+				values <- got
+			}
+		})
+	}
+	running.Wait()
+	close(values)
+	counted := map[string]int{}
+	for got := range values {
+		counted[got]++
+	}
+	if diff := cmp.Diff(map[string]int{"4.5": clients * rounds}, counted); diff != "" {
+		t.Error(diff)
+	}
+}
+
 type discard struct{}
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
