Keep removed groups through further changes of the manifest

Cause: a group that a manifest removed while its requests were open was kept beside the table of groups by name, and the next change of the manifest looked at that table alone: the group was dropped, and its requests never got an answer. Seen when reading the change again. Change: configure starts from all groups that are there; the search for open groups stands once.

--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -183,3 +183,29 @@
 		t.Errorf("%d attempts, want at most %d", read.attempts, bound)
 	}
 }
+
+// TestGroupRemovedAndManifestChangedAgain changes the manifest once more while a
+// write of a removed group waits for its proof.
+func TestGroupRemovedAndManifestChangedAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	n := w.node("i1")
+	without := testManifest[:strings.Index(testManifest, "[[group]]")] + otherGroup
+	w.acceptManifest(2, []byte(without))
+	w.split([]string{"d1"}, []string{"d2", "d3"})
+	write := w.call(n, "post", "entry-1", model.Token{})
+	w.run(20 * time.Millisecond)
+	for number, body := range []string{without, without + "# again\n"} {
+		offer := message.ManifestOffer{
+			Number: uint64(number + 2), Digest: manifest.Digest([]byte(body)), Body: []byte(body),
+		}
+		n.post(message.PeerHeard{From: "i9", Body: offer})
+	}
+	w.heal()
+	w.run(5 * time.Second)
+	if n.number != 3 {
+		t.Fatalf("manifest in force = %d, want 3", n.number)
+	}
+	if write.result != resultDone {
+		t.Errorf("write in flight = %s %s, want done", write.result, write.why)
+	}
+}
--- a/internal/core/engine/system_manifest.go
+++ b/internal/core/engine/system_manifest.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"sort"
-
 	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -108,18 +106,22 @@
 // configure brings the tables in line with a manifest. What is known of a
 // database stays where its address does.
 func (e *Engine) configure(m *manifest.Manifest) {
-	groups, databases := e.byGroup, e.databases
+	before, databases := e.groups, e.databases
+	known := make(map[model.GroupID]*group, len(before))
+	for _, g := range before {
+		known[g.name] = g
+	}
+	e.groups = nil
 	e.byGroup = map[model.GroupID]*group{}
 	e.databases = map[model.DatabaseID]*database{}
-	e.groups = e.groups[:0]
 	for _, declared := range m.Groups {
-		g, found := groups[declared.Name]
+		g, found := known[declared.Name]
 		if !found {
 			g = newGroup(declared.Name)
 		}
 		e.configureGroup(g, declared, databases)
 	}
-	e.keepRemoved(groups)
+	e.keepRemoved(before)
 	for _, s := range e.sessions {
 		s.group = e.byGroup[s.name]
 	}
@@ -129,31 +131,29 @@
 
 // keepRemoved keeps the groups that the manifest has no more while requests of
 // theirs are open, so that each still gets its outcome.
-func (e *Engine) keepRemoved(before map[model.GroupID]*group) {
-	for _, name := range sortedGroups(before) {
-		g := before[name]
-		if e.byGroup[name] == nil {
-			e.keepGroup(g)
+func (e *Engine) keepRemoved(before []*group) {
+	open := e.openGroups()
+	for _, g := range before {
+		if e.byGroup[g.name] == g || !open[g] {
+			continue
+		}
+		g.removed = true
+		e.groups = append(e.groups, g)
+		for _, d := range g.databases {
+			if e.databases[d.name] == nil {
+				e.databases[d.name] = d
+			}
 		}
 	}
 }
 
-// keepGroup keeps one removed group where it has open requests.
-func (e *Engine) keepGroup(g *group) {
-	open := false
+// openGroups returns the groups that have open requests.
+func (e *Engine) openGroups() map[*group]bool {
+	open := map[*group]bool{}
 	for _, r := range e.requests.byID {
-		open = open || r.group == g
-	}
-	if !open {
-		return
-	}
-	g.removed = true
-	e.groups = append(e.groups, g)
-	for _, d := range g.databases {
-		if e.databases[d.name] == nil {
-			e.databases[d.name] = d
-		}
+		open[r.group] = true
 	}
+	return open
 }
 
 // dropRemovedWhenDue looks for removed groups only while there are any.
@@ -168,10 +168,7 @@
 
 // dropRemoved forgets removed groups whose last request has ended.
 func (e *Engine) dropRemoved() {
-	open := map[*group]bool{}
-	for _, r := range e.requests.byID {
-		open[r.group] = true
-	}
+	open := e.openGroups()
 	kept := e.groups[:0]
 	for _, g := range e.groups {
 		if !g.removed || open[g] {
@@ -190,16 +187,6 @@
 	}
 }
 
-// sortedGroups returns the names of groups in order.
-func sortedGroups(groups map[model.GroupID]*group) []model.GroupID {
-	names := make([]model.GroupID, 0, len(groups))
-	for name := range groups {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
-}
-
 // configureGroup brings one group in line.
 func (e *Engine) configureGroup(g *group, declared manifest.Group, before map[model.DatabaseID]*database) {
 	e.groups = append(e.groups, g)
