Let a held answer stand in its request

Cause: a table of held answers repeated the request's attempt and position, and each step built a second table to find the requests again. Change: the table holds the requests; no behaviour differs.

--- a/internal/core/engine/system_prove.go
+++ b/internal/core/engine/system_prove.go
@@ -34,29 +34,19 @@
 
 // releaseHeld lets held answers go whose position is proven.
 func (e *Engine) releaseHeld(g *group) {
-	for _, r := range sortedRequests(e.heldRequests(g)) {
-		held := g.held[r.id]
-		if held.position.Term != g.term && !held.position.IsZero() {
+	for _, r := range sortedRequests(g.held) {
+		if r.position.Term != g.term && !r.position.IsZero() {
 			e.drop(r)
 			continue
 		}
-		if !g.isPositionProven(held.position) {
+		if !g.isPositionProven(r.position) {
 			continue
 		}
 		delete(g.held, r.id)
-		e.do(message.Release{Request: r.id, Attempt: held.attempt})
+		e.do(message.Release{Request: r.id, Attempt: r.attempt})
 	}
 }
 
-// heldRequests returns the requests that the group's held answers belong to.
-func (e *Engine) heldRequests(g *group) map[model.RequestID]*request {
-	held := make(map[model.RequestID]*request, len(g.held))
-	for id := range g.held {
-		held[id] = e.requests.byID[id]
-	}
-	return held
-}
-
 // releaseProving ends requests whose commit, or settling answer, is proven.
 func (e *Engine) releaseProving(g *group) {
 	for _, r := range sortedRequests(g.proving) {
@@ -113,8 +103,8 @@
 			oldest = position
 		}
 	}
-	for _, held := range g.held {
-		consider(held.position)
+	for _, r := range g.held {
+		consider(r.position)
 	}
 	for _, r := range g.proving {
 		consider(r.position)
@@ -131,7 +121,8 @@
 	if r.dropped {
 		return
 	}
-	r.group.held[r.id] = heldAnswer{attempt: held.Attempt, position: held.Position}
+	r.position = held.Position
+	r.group.held[r.id] = r
 	e.learnPrimary(r, held.Position)
 }
 
--- a/internal/core/engine/table_group.go
+++ b/internal/core/engine/table_group.go
@@ -99,7 +99,7 @@
 	// samples are ordered by time and by position.
 	samples []sample
 	// held and proving wait for a position to be proven, by request.
-	held    map[model.RequestID]heldAnswer
+	held    map[model.RequestID]*request
 	proving map[model.RequestID]*request
 	// wanting is the newest time that a waiting read wants a sample of.
 	wanting time.Time
@@ -110,16 +110,10 @@
 	logbookAt  time.Time
 }
 
-// heldAnswer is an answer of the primary that waits at the edge.
-type heldAnswer struct {
-	attempt  model.Attempt
-	position model.Position
-}
-
 func newGroup(name model.GroupID) *group {
 	return &group{
 		name:    name,
-		held:    map[model.RequestID]heldAnswer{},
+		held:    map[model.RequestID]*request{},
 		proving: map[model.RequestID]*request{},
 	}
 }
--- a/internal/core/engine/table_request.go
+++ b/internal/core/engine/table_request.go
@@ -112,7 +112,8 @@
 	given model.Token
 	// behind counts answers of replicas that lagged too far.
 	behind int
-	// position is that of the commit, or of the settling answer.
+	// position is that of the held answer, of the commit, or of the settling
+	// answer, as the phase goes on.
 	position model.Position
 	// answered says that the edge holds the whole answer of the commit.
 	answered bool
