Spread views between instances and replace primaries under a claim

Change: instances exchange bulletins every 400 ms over the peer links that there are: configuration, databases, the view of the table of groups, samples, and how each reaches the primaries. A view is aged by the receiver's own clock, from what the bulletin echoes. The first live instance asks the store, the others seldom. The holder of one duty row replaces a primary that leaves, is gone, or gives a majority no answer: claim in the store, wait out the leases, step down, longest log, promote under a proven duty, record.

--- a/internal/core/fresh/fresh.go
+++ b/internal/core/fresh/fresh.go
@@ -47,6 +47,13 @@
 	samples []Sample
 }
 
+// Offer takes in a sample where it is newer than what is known by the spacing.
+func (s *Samples) Offer(sample Sample) {
+	if newest, found := s.Newest(); !found || sample.At.Sub(newest.At) >= spacing {
+		s.Add(sample.At, sample.Position)
+	}
+}
+
 // Add takes in a sample. Samples that are older than the newest kept one, or
 // that follow it closely, are dropped, unless their position is higher.
 func (s *Samples) Add(at time.Time, position model.Position) {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -54,18 +54,31 @@
 
 // Row is a group's entry in the table of groups.
 type Row struct {
+	_msgpack struct{} `msgpack:",as_array"`
 	// Epoch counts the changes of the row.
-	Epoch uint64 `msgpack:"epoch"`
-	Phase Phase  `msgpack:"phase"`
+	Epoch uint64
+	Phase Phase
 	// Primary is the present primary, or the one that is being replaced.
-	Primary model.DatabaseID `msgpack:"primary"`
+	Primary model.DatabaseID
 	// Term is the least term in which Primary leads.
-	Term model.Term `msgpack:"term"`
+	Term model.Term
 	// Steward is the instance that wrote the row, Reason why.
-	Steward model.InstanceID `msgpack:"steward"`
-	Reason  string           `msgpack:"reason"`
-	// Version is the store's for the row's last change.
-	Version uint64 `msgpack:"-"`
+	Steward model.InstanceID
+	Reason  string
+	// Version is the store's for the row's last change, as the store tells it.
+	Version uint64
+}
+
+// Duty tells which instance may change primaries. Like a primary, a holder acts
+// only under a view that proves it, and a new one waits Length before it acts.
+type Duty struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Holder is one start of an instance, Name what the instance is called.
+	Holder, Name model.InstanceID
+	// Token rises with each change of the holder.
+	Token uint64
+	// Version is the store's for the last change.
+	Version uint64
 }
 
 // View is the table of groups as of one moment.
@@ -76,6 +89,7 @@
 	// table had not begun.
 	Began time.Time
 	Rows  map[model.GroupID]Row
+	Duty  Duty
 }
 
 // Grant names a primary for one use.
--- /dev/null
+++ b/internal/core/message/event_fleet.go
@@ -0,0 +1,73 @@
+package message
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Bulletin tells a peer what the sender knows: newer configuration, databases
+// and primaries spread so to instances that the store does not answer. Ages are
+// as of Sent. The fields go over the wire without their names.
+type Bulletin struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     model.InstanceID
+	Zone     model.ZoneID
+	Peer     netip.AddrPort
+	// Sent is the sender's clock. Echo is the newest Sent that it has heard of
+	// the receiver: what the sender knew after that, it knew after the receiver
+	// had said it, by the receiver's own clock.
+	Sent, Echo time.Duration
+	// Leaving announces that the sender takes no further work; Stored that the
+	// store has answered it lately.
+	Leaving, Stored bool
+	// Configuration is the version in force, Databases that of the list of
+	// databases.
+	Configuration, Databases uint64
+	// View is the version of the table of groups, ViewAge how long before Sent
+	// the read of it began.
+	View    uint64
+	ViewAge time.Duration
+	Duty    lease.Duty
+	// Holder says that the sender has lately heard the holder of the duty.
+	Holder bool
+	Groups []GroupNote
+}
+
+// GroupNote is what a Bulletin says of one group.
+type GroupNote struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Group    model.GroupID
+	Row      lease.Row
+	// Failing is for how long the sender has had no answer of the primary
+	// although it asked; zero means that the primary answers.
+	Failing time.Duration
+	// Sampled is a position of the primary's log that covers all commits
+	// acknowledged earlier than SampleAge before Sent; zero where there is none.
+	Sampled   model.Position
+	SampleAge time.Duration
+}
+
+// DatabasesOffer passes on the databases' entries as the store held them.
+type DatabasesOffer struct {
+	Version uint64          `msgpack:"ver"`
+	Entries []DatabaseEntry `msgpack:"rows"`
+}
+
+// DatabaseEntry is one entry of DatabasesOffer.
+type DatabaseEntry struct {
+	Key     string `msgpack:"key"`
+	Value   []byte `msgpack:"val"`
+	Version uint64 `msgpack:"ver"`
+}
+
+// DatabasesWanted asks a peer for the databases' entries.
+type DatabasesWanted struct {
+	Above uint64 `msgpack:"above"`
+}
+
+func (Bulletin) isPeerMessage()        {}
+func (DatabasesOffer) isPeerMessage()  {}
+func (DatabasesWanted) isPeerMessage() {}
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -47,6 +47,10 @@
 const (
 	// EndingAnswered: it answered.
 	EndingAnswered Ending = iota
+	// EndingWritten: it carried out a write or a commit.
+	EndingWritten
+	// EndingNotPrimary: it refused as a replica what only a primary does.
+	EndingNotPrimary
 	// EndingBehind: its log lacked a position.
 	EndingBehind
 	// EndingBusy: it had no room for the statement.
@@ -79,6 +83,9 @@
 	// further connection.
 	blocked, full time.Time
 	failures      int
+	// heard is when it last answered, failing0 when the first of the failures
+	// since then was, and denied since when it has refused what a primary does.
+	heard, failing0, denied time.Time
 }
 
 // sent notes that a statement goes to the database.
@@ -105,8 +112,16 @@
 		b.full = now.Add(fullPause)
 	case EndingUnreachable:
 		b.owed = time.Time{}
-		b.failures++
-		b.blocked = now.Add(b.pauseOf(result))
+		b.unreachable(now)
+	case EndingNotPrimary:
+		b.answered(now)
+		if b.denied.IsZero() {
+			b.denied = now
+		}
+	case EndingWritten:
+		b.answered(now)
+		b.measure(now, result.Elapsed)
+		b.denied = time.Time{}
 	case EndingUnused:
 	}
 	if b.running == 0 {
@@ -115,9 +130,35 @@
 	b.applied = b.applied.Max(result.Position)
 }
 
+// unreachable notes that a connection could not be opened or broke.
+func (b *belief) unreachable(now time.Time) {
+	b.failures++
+	if b.failing0.IsZero() {
+		b.failing0 = now
+	}
+	b.blocked = now.Add(b.pause())
+}
+
+// failing returns for how long the database has not done what a primary does,
+// although it was asked to.
+func (b *belief) failing(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, since := range []time.Time{b.failing0, b.denied} {
+		if !since.IsZero() {
+			longest = max(longest, now.Sub(since))
+		}
+	}
+	if b.isSilent(now) {
+		longest = max(longest, now.Sub(b.owed))
+	}
+	return longest
+}
+
 // answered notes that the database has answered something.
 func (b *belief) answered(now time.Time) {
+	b.heard = now
 	b.failures = 0
+	b.failing0 = time.Time{}
 	b.blocked = time.Time{}
 	b.owed = time.Time{}
 	if b.running > 0 {
@@ -129,14 +170,21 @@
 func (b *belief) pauseOf(result Result) time.Duration {
 	switch result.Ending {
 	case EndingUnreachable:
-		return min(unreachablePause<<min(max(b.failures-1, 0), 4), unreachableMost)
+		return b.pause()
 	case EndingFull:
 		return fullPause
-	case EndingAnswered, EndingBehind, EndingBusy, EndingUnused:
+	case EndingAnswered, EndingWritten, EndingNotPrimary, EndingBehind, EndingBusy, EndingUnused:
 	}
 	return 0
 }
 
+// pause returns the time for which the database gets no work after as many
+// failures as it has had.
+func (b *belief) pause() time.Duration {
+	const doublings = 4
+	return min(unreachablePause<<min(max(b.failures-1, 0), doublings), unreachableMost)
+}
+
 // measure takes in the time of an answer.
 func (b *belief) measure(now time.Time, elapsed time.Duration) {
 	if b.latency == 0 {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -249,6 +249,53 @@
 	return 0
 }
 
+// Failing returns for how long a group's primary has given no answer although it
+// was asked, or zero where it answers.
+func (s *Scheduler) Failing(name model.GroupID) time.Duration {
+	primary, found := s.leases.Grant(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.byID[primary.Primary]
+	if !found || b == nil {
+		return 0
+	}
+	return b.failing(clock.Now())
+}
+
+// Unheard returns the primaries that have not answered for a while and have
+// nothing to answer, so that their silence tells nothing.
+func (s *Scheduler) Unheard(after time.Duration) []Database {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	var unheard []Database
+	for name := range s.groups {
+		primary, found := s.leases.Grant(name)
+		if b := s.byID[primary.Primary]; found && b != nil && b.running == 0 && now.Sub(b.heard) > after {
+			unheard = append(unheard, b.Database)
+		}
+	}
+	return unheard
+}
+
+// Observe notes that a database has answered a question of the control, or has
+// not.
+func (s *Scheduler) Observe(id model.DatabaseID, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.byID[id]
+	if b == nil {
+		return
+	}
+	now := clock.Now()
+	if answered {
+		b.answered(now)
+	} else {
+		b.unreachable(now)
+	}
+	s.pump(s.group(b.Group))
+}
+
 // pump gives seats to those that wait, in their order, as far as there are any.
 func (s *Scheduler) pump(g *group) {
 	now := clock.Now()
--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -39,6 +39,9 @@
 	{"database-leaving", 5, false, decode[message.DatabaseLeaving], message.DatabaseLeaving{}},
 	{"demand", 6, true, decode[message.Demand], message.Demand{}},
 	{"permit", 7, true, decode[message.Permit], message.Permit{}},
+	{"bulletin", 8, true, decode[message.Bulletin], message.Bulletin{}},
+	{"databases-offer", 9, false, decode[message.DatabasesOffer], message.DatabasesOffer{}},
+	{"databases-wanted", 10, false, decode[message.DatabasesWanted], message.DatabasesWanted{}},
 }
 
 var (
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -92,7 +92,9 @@
 		return placement.EndingBehind
 	case statement.CodeWrongDatabase:
 		return placement.EndingUnreachable
-	case statement.CodeBusy, statement.CodeAborted, statement.CodeReadOnly, statement.CodeNoStatement,
+	case statement.CodeReadOnly:
+		return placement.EndingNotPrimary
+	case statement.CodeBusy, statement.CodeAborted, statement.CodeNoStatement,
 		statement.CodeMalformed, statement.CodeNoGroup, statement.CodeFailed, statement.CodeTimeout,
 		statement.CodeUnknown, statement.CodeOther:
 	}
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
@@ -38,6 +39,10 @@
 	// changed is closed when a configuration was taken in, or confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
+	// raw is the configuration in force as the operator wrote it.
+	raw []byte
+	// listed is the store's version of the list of databases.
+	listed uint64
 	// unprovenSince is since when the primaries have had no proof.
 	unprovenSince time.Time
 }
@@ -46,6 +51,7 @@
 type entry struct {
 	placement.Database
 	version uint64
+	raw     []byte
 	// lapsed is when the entry was found missing, leavingAt when it first said
 	// that the database leaves.
 	lapsed, leavingAt time.Time
@@ -85,6 +91,7 @@
 	if newer {
 		d.known = true
 		d.configuration = decoded
+		d.raw = body
 		f.publish()
 	}
 	d.mu.Unlock()
@@ -192,7 +199,9 @@
 	for _, row := range rows.Rows {
 		id := model.DatabaseID(row.Key)
 		listed[id] = true
+		d.listed = max(d.listed, row.Version)
 		if row.Removed {
+			d.listed = max(d.listed, rows.Version)
 			f.lapse(id)
 			continue
 		}
@@ -208,6 +217,57 @@
 	f.publish()
 }
 
+// databasesVersion returns the store's version of the list of databases.
+func (f *Fleet) databasesVersion() uint64 {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.listed
+}
+
+// offerDatabases returns the list of databases for a peer.
+func (f *Fleet) offerDatabases() message.DatabasesOffer {
+	d := &f.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	offer := message.DatabasesOffer{Version: d.listed}
+	for id, known := range d.entries {
+		if known.lapsed.IsZero() {
+			offer.Entries = append(offer.Entries, message.DatabaseEntry{Key: string(id), Value: known.raw, Version: known.version})
+		}
+	}
+	return offer
+}
+
+// takeOffer takes in a peer's list of databases where it is newer than this
+// instance's.
+func (f *Fleet) takeOffer(offer message.DatabasesOffer, from string) {
+	if offer.Version <= f.databasesVersion() {
+		return
+	}
+	rows := store.Rows{Version: offer.Version}
+	for _, known := range offer.Entries {
+		rows.Rows = append(rows.Rows, store.Row{Table: from, Key: known.Key, Value: known.Value, Version: known.Version})
+	}
+	f.takeDatabases(rows, true)
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	f.directory.listed = max(f.directory.listed, offer.Version)
+}
+
+// rawConfiguration returns the configuration in force as the operator wrote it.
+func (f *Fleet) rawConfiguration() (uint64, []byte) {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.configuration.Version, f.directory.raw
+}
+
+// republish tells the scheduler again: the number of instances has changed.
+func (f *Fleet) republish() {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	f.publish()
+}
+
 // lapse notes that a database's entry is missing.
 func (f *Fleet) lapse(id model.DatabaseID) {
 	if known, found := f.directory.entries[id]; found && known.lapsed.IsZero() {
@@ -235,7 +295,7 @@
 		f.note(event.DatabaseKnown,
 			event.F("group", decoded.Group), event.F("database", decoded.ID), event.F("zone", decoded.Zone),
 			event.F("leaving", decoded.Leaving), event.F("primary", decoded.ClaimsPrimary), event.F("born", decoded.Born),
-			event.F("source", "store"))
+			event.F("source", row.Table))
 	}
 	if decoded.Leaving && known.leavingAt.IsZero() {
 		known.leavingAt = clock.Now()
@@ -246,6 +306,7 @@
 	}
 	known.Database = decoded
 	known.version = row.Version
+	known.raw = row.Value
 	known.lapsed = time.Time{}
 }
 
@@ -299,9 +360,6 @@
 	f.Scheduler.SetDatabases(databases, f.instances())
 }
 
-// instances returns the number of instances that share the databases.
-func (f *Fleet) instances() int { return 7 }
-
 // -----------------------------------------------------------------------------
 // Readiness.
 
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -14,6 +14,8 @@
 //	directory.go  the configuration and the databases in force
 //	leases.go     the table of groups: views, and the first rows
 //	prove.go      verdicts for sessions
+//	peers.go      the other instances: who is alive, what they know
+//	steward.go    changes of primary
 //
 // # Usage
 //
@@ -23,6 +25,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,8 +55,15 @@
 
 // Options are what a Fleet needs.
 type Options struct {
-	Instance model.InstanceID
-	Zone     model.ZoneID
+	// Instance names this start of the instance, Name the instance itself.
+	Instance, Name model.InstanceID
+	Zone           model.ZoneID
+	// Peer is where other instances connect, Seeds where some of them do.
+	Peer  netip.AddrPort
+	Seeds []netip.AddrPort
+	// Expected is the number of instances that share the databases until more
+	// is known.
+	Expected int
 	Store    store.Store
 	Promoter store.Promoter
 	Source   Source
@@ -71,11 +81,15 @@
 	Scheduler *placement.Scheduler
 	Pool      *backend.Pool
 
-	directory directory
-	renewal   renewal
-	leaving   atomic.Bool
-	ready     atomic.Bool
-	running   sync.WaitGroup
+	directory   directory
+	renewal     renewal
+	peers       peers
+	stewardship stewardship
+	leaving     atomic.Bool
+	// stored is when the store last answered, since boot.
+	stored  atomic.Int64
+	ready   atomic.Bool
+	running sync.WaitGroup
 
 	samplesMu sync.Mutex
 	samples   map[model.GroupID]*fresh.Samples
@@ -85,18 +99,23 @@
 func New(options Options) *Fleet {
 	leases := lease.NewTable()
 	return &Fleet{
-		options:   options,
-		Leases:    leases,
-		Scheduler: placement.NewScheduler(options.Zone, leases),
-		Pool:      backend.NewPool(options.Protocol),
-		directory: newDirectory(),
-		renewal:   renewal{wanted: make(chan struct{}, 1)},
-		samples:   map[model.GroupID]*fresh.Samples{},
+		options:     options,
+		Leases:      leases,
+		Scheduler:   placement.NewScheduler(options.Zone, leases),
+		Pool:        backend.NewPool(options.Protocol),
+		directory:   newDirectory(),
+		renewal:     renewal{wanted: make(chan struct{}, 1)},
+		peers:       newPeers(),
+		stewardship: stewardship{busy: map[model.GroupID]chan struct{}{}},
+		samples:     map[model.GroupID]*fresh.Samples{},
 	}
 }
 
-// Start runs the fleet until ctx ends. The channel gets its end.
-func (f *Fleet) Start(ctx context.Context) <-chan error {
+// Start runs the fleet until ctx ends, with links to its peers. The channel gets
+// its end.
+func (f *Fleet) Start(ctx context.Context, links Links) <-chan error {
+	f.peers.links = links
+	f.setLinks()
 	configurations, key := f.options.Source.ConfigurationTable()
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) {
@@ -104,6 +123,8 @@
 		},
 		func(ctx context.Context) { f.watch(ctx, f.options.Source.DatabaseTable(), f.takeDatabases) },
 		f.renew,
+		f.register,
+		f.announce,
 		f.tick,
 	} {
 		f.running.Add(1)
@@ -131,6 +152,8 @@
 		case <-ticker.C:
 			f.expireDatabases()
 			f.createRows(ctx)
+			f.probePrimaries(ctx)
+			f.steward(ctx)
 			f.Pool.Sweep(f.isKnown)
 			f.judgeReadiness()
 			f.options.Log.Flush(time.Now())
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -21,6 +22,13 @@
 	renewAge = 500 * time.Millisecond
 	// renewTimeout bounds a read of the table.
 	renewTimeout = 500 * time.Millisecond
+	// renewSpare is that age for the instances that are not the first: they hear
+	// the first one's views.
+	renewSpare = 850 * time.Millisecond
+	// storedFor is how long the store counts as reachable after an answer.
+	storedFor = 2 * time.Second
+	// dutyKey is the row of the duty; no group has that name.
+	dutyKey = "duty of promotion"
 	// renewPause is the least time between two reads.
 	renewPause = 50 * time.Millisecond
 )
@@ -69,7 +77,11 @@
 func (f *Fleet) awaitRenewal(ctx context.Context) {
 	sleep(ctx, renewPause)
 	for ctx.Err() == nil {
-		left := renewAge - clock.Since(f.Leases.View().Began)
+		age := renewSpare
+		if f.isFirst() {
+			age = renewAge
+		}
+		left := age - clock.Since(f.Leases.View().Began)
 		if left <= 0 {
 			return
 		}
@@ -94,11 +106,16 @@
 	if err != nil {
 		return err
 	}
+	f.stored.Store(int64(sinceBoot(clock.Now())))
 	view := lease.View{Version: rows.Version, Began: began, Rows: map[model.GroupID]lease.Row{}}
 	for _, row := range rows.Rows {
+		if row.Key == dutyKey {
+			f.decode(row, &view.Duty)
+			view.Duty.Version = row.Version
+			continue
+		}
 		var decoded lease.Row
-		if err := msgpack.Unmarshal(row.Value, &decoded); err != nil {
-			f.note(event.ContentRejected, event.F("table", groupTable), event.F("key", row.Key), event.F("error", err.Error()))
+		if !f.decode(row, &decoded) {
 			continue
 		}
 		decoded.Version = row.Version
@@ -108,6 +125,20 @@
 	return nil
 }
 
+// decode reads a row's value and reports whether it could.
+func (f *Fleet) decode(row store.Row, into any) bool {
+	err := msgpack.Unmarshal(row.Value, into)
+	if err != nil {
+		f.note(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key), event.F("error", err.Error()))
+	}
+	return err == nil
+}
+
+// isStored reports whether the store has answered lately.
+func (f *Fleet) isStored(now time.Time) bool {
+	return sinceBoot(now)-time.Duration(f.stored.Load()) < storedFor
+}
+
 // learnView takes in a view of the table of groups.
 func (f *Fleet) learnView(view lease.View, from string) {
 	before := f.Leases.View()
@@ -127,6 +158,7 @@
 	}
 	if changed {
 		f.Scheduler.Wake()
+		f.broadcast()
 	}
 }
 
@@ -134,14 +166,22 @@
 // says so itself is the primary, since nobody has ever promoted another.
 func (f *Fleet) createRows(ctx context.Context) {
 	view := f.Leases.View()
-	if view.Rows == nil {
+	if view.Rows == nil || !f.isFirst() {
 		return
 	}
 	for _, group := range f.groupsWithout(view) {
 		row := lease.Row{
 			Epoch: 1, Phase: lease.PhaseStable, Primary: group.primary, Steward: f.options.Instance, Reason: "first row",
 		}
-		f.writeRow(ctx, group.name, 0, row)
+		_, err := f.write(ctx, store.Change{
+			Expected: []store.Row{{Table: groupTable, Key: string(group.name)}},
+			Set: []store.Row{
+				{Table: groupTable, Key: string(group.name), Value: f.encode(&row)},
+				{Table: logbookTable, Key: logbookKey(group.name, row.Epoch), Value: f.encode(&row)},
+			},
+		})
+		f.noteRow(group.name, row, err)
+		f.wantRenewal()
 	}
 }
 
@@ -174,28 +214,7 @@
 	return missing
 }
 
-// writeRow writes a group's row where it still has the version, and reports
-// whether it did. After an unknown outcome the next view tells.
-func (f *Fleet) writeRow(ctx context.Context, group model.GroupID, version uint64, row lease.Row) bool {
-	body, err := msgpack.Marshal(&row)
-	if err != nil {
-		f.note(event.ContentRejected, event.F("table", groupTable), event.F("key", group), event.F("error", err.Error()))
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	key := store.Row{Table: groupTable, Key: string(group), Version: version}
-	_, err = f.options.Store.Write(ctx, store.Change{
-		Expected: []store.Row{key},
-		Set:      []store.Row{{Table: groupTable, Key: string(group), Value: body}},
-	})
-	outcome := "written"
-	if err != nil {
-		outcome = err.Error()
-	}
-	f.note(event.RowWritten,
-		event.F("group", group), event.F("epoch", row.Epoch), event.F("phase", row.Phase.String()),
-		event.F("primary", row.Primary), event.F("term", row.Term), event.F("reason", row.Reason), event.F("outcome", outcome))
-	f.wantRenewal()
-	return err == nil
+// logbookKey orders the records of a group by epoch.
+func logbookKey(name model.GroupID, epoch uint64) string {
+	return fmt.Sprintf("%s/%020d", name, epoch)
 }
--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -15,8 +15,12 @@
 	// readTimeout bounds a read of the store: a read on a connection that went
 	// silent must end and be repeated well inside the bound for configurations.
 	readTimeout = 700 * time.Millisecond
-	// watchWait is how long the store holds a watch without a change.
-	watchWait = time.Second
+	// watchWait is how long the store holds a watch without a change for the
+	// first instance: a watch that went silent must be found out inside the
+	// bound for configurations. The others hear of changes from it as well, and
+	// spare calls.
+	watchWait  = 1600 * time.Millisecond
+	watchSpare = 9 * time.Second
 	// writeTimeout bounds a write to the store.
 	writeTimeout = time.Second
 	// pauseFirst and pauseMost bound the pause after a failed call.
@@ -74,9 +78,17 @@
 		defer cancel()
 		return f.options.Store.Read(ctx, table)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	wait := watchSpare
+	if f.isFirst() {
+		wait = watchWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	return f.options.Store.Watch(ctx, table, version, watchWait)
+	rows, err := f.options.Store.Watch(ctx, table, version, wait)
+	if err == nil {
+		f.stored.Store(int64(sinceBoot(clock.Now())))
+	}
+	return rows, err
 }
 
 // sleep waits for d, or until ctx ends.
--- a/internal/report/event/event_steward.go
+++ b/internal/report/event/event_steward.go
@@ -15,6 +15,39 @@
 		Text:   "This instance has changed a group's row.",
 		Fields: []string{"group", "epoch", "phase", "primary", "term", "reason", "outcome"},
 	}
+	ChangeBegun = Event{
+		Number: 422, Name: "change-begun", Level: LevelWarn,
+		Text: "This instance begins to replace a primary: why, and for how long each live instance has " +
+			"had no answer of it.",
+		Fields: []string{"group", "epoch", "primary", "reason", "failing"},
+	}
+	ChangeFailed = Event{
+		Number: 423, Name: "change-failed", Level: LevelWarn,
+		Text:   "A change of primary did not get on; it is begun again.",
+		Fields: []string{"group", "why"},
+	}
+	ChangeEnded = Event{
+		Number: 424, Name: "change-ended", Level: LevelInfo,
+		Text:   "A group has a new primary.",
+		Fields: []string{"group", "epoch", "primary", "before", "term", "received", "took"},
+	}
+	PrimarySteppedDown = Event{
+		Number: 425, Name: "primary-stepped-down", Level: LevelInfo,
+		Text:   "The old primary was told to lead no more.",
+		Fields: []string{"group", "database", "received", "outcome"},
+	}
+	PromotionCalled = Event{
+		Number: 426, Name: "promotion-called", Level: LevelInfo,
+		Text:   "The platform was asked to promote a database.",
+		Fields: []string{"group", "database", "outcome"},
+	}
+	DatabaseAsked = Event{
+		Number: 427, Name: "database-asked", Level: LevelInfo,
+		Text:   "A database was asked for its standing, or to step down.",
+		Fields: []string{"group", "database", "statement", "role", "term", "received", "outcome"},
+	}
 )
 
-var stewardEvents = []Event{RowSeen, RowWritten}
+var stewardEvents = []Event{
+	RowSeen, RowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
+}
