--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -54,7 +54,7 @@
 
 // Row is a group's entry in the table of groups.
 type Row struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	// Epoch counts the changes of the row.
 	Epoch uint64
 	Phase Phase
@@ -72,7 +72,7 @@
 // Duty tells which instance may change primaries. Like a primary, a holder acts
 // only under a view that proves it, and a new one waits Length before it acts.
 type Duty struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	// Holder is one start of an instance, Name what the instance is called.
 	Holder, Name model.InstanceID
 	// Token rises with each change of the holder.
--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -12,7 +12,7 @@
 // and primaries spread so to instances that the store does not answer. Ages are
 // as of Sent. The fields go over the wire without their names.
 type Bulletin struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	Name     model.InstanceID
 	Zone     model.ZoneID
 	Peer     netip.AddrPort
@@ -38,7 +38,7 @@
 
 // GroupNote is what a Bulletin says of one group.
 type GroupNote struct {
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	Group    model.GroupID
 	Row      lease.Row
 	// Failing is for how long the sender has had no answer of the primary
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
@@ -23,6 +24,7 @@
 var equal = cmp.Options{
 	cmpopts.EquateEmpty(),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
+	cmpopts.IgnoreUnexported(message.Bulletin{}, message.GroupNote{}, lease.Row{}, lease.Duty{}),
 }
 
 // samples has a value of each message.
@@ -48,6 +50,18 @@
 		Group: "ratings", Sequence: 9, Seen: 7, Valid: time.Second,
 		Leases: []message.Lease{{Lease: 70, Database: "ratings-a", Rank: 1, Recall: true}},
 	},
+	message.Bulletin{
+		Name: "front-1", Zone: "lanier", Peer: netip.MustParseAddrPort("10.0.0.1:7000"),
+		Sent: 9 * time.Second, Echo: 8 * time.Second, Stored: true, Configuration: 4, Databases: 12,
+		View: 13, ViewAge: 300 * time.Millisecond, Duty: lease.Duty{Holder: "front-1-ab", Name: "front-1", Token: 2, Version: 11},
+		Holder: true,
+		Groups: []message.GroupNote{{
+			Group: "ratings", Row: lease.Row{Epoch: 3, Phase: lease.PhaseChanging, Primary: "ratings-a", Term: 2, Steward: "front-1-ab"},
+			Failing: time.Second, Sampled: model.Position{Term: 2, Offset: 70}, SampleAge: time.Millisecond,
+		}},
+	},
+	message.DatabasesOffer{Version: 12, Entries: []message.DatabaseEntry{{Key: "ratings-a", Value: []byte("entry"), Version: 11}}},
+	message.DatabasesWanted{Above: 11},
 }
 
 func TestBytesOfEachMessage(t *testing.T) {
@@ -90,6 +104,29 @@
 		asMessage(rapid.Make[message.DatabaseLeaving]()),
 		asMessage(rapid.Make[message.Demand]()),
 		asMessage(rapid.Make[message.Permit]()),
+		asMessage(rapid.Make[message.DatabasesOffer]()),
+		asMessage(rapid.Make[message.DatabasesWanted]()),
+		asMessage(rapid.Custom(func(t *rapid.T) message.Bulletin {
+			note := rapid.Custom(func(t *rapid.T) message.GroupNote {
+				return message.GroupNote{
+					Group: model.GroupID(rapid.String().Draw(t, "group")),
+					Row: lease.Row{
+						Epoch: rapid.Uint64().Draw(t, "epoch"), Phase: lease.Phase(rapid.IntRange(0, 1).Draw(t, "phase")),
+						Primary: model.DatabaseID(rapid.String().Draw(t, "primary")), Version: rapid.Uint64().Draw(t, "version"),
+					},
+					Failing:   time.Duration(rapid.Int64().Draw(t, "failing")),
+					Sampled:   rapid.Make[model.Position]().Draw(t, "sampled"),
+					SampleAge: time.Duration(rapid.Int64().Draw(t, "age")),
+				}
+			})
+			return message.Bulletin{
+				Name: model.InstanceID(rapid.String().Draw(t, "name")), Peer: address.Draw(t, "peer"),
+				Sent: time.Duration(rapid.Int64().Draw(t, "sent")), Echo: time.Duration(rapid.Int64().Draw(t, "echo")),
+				View: rapid.Uint64().Draw(t, "view"), ViewAge: time.Duration(rapid.Int64().Draw(t, "age")),
+				Duty:   lease.Duty{Holder: model.InstanceID(rapid.String().Draw(t, "holder")), Token: rapid.Uint64().Draw(t, "token")},
+				Groups: rapid.SliceOf(note).Draw(t, "groups"),
+			}
+		})),
 		asMessage(rapid.Custom(func(t *rapid.T) message.Heartbeat {
 			known := rapid.SliceOf(rapid.Custom(func(t *rapid.T) message.KnownPeer {
 				return message.KnownPeer{Instance: model.InstanceID(rapid.String().Draw(t, "id")), Peer: address.Draw(t, "peer")}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -48,8 +48,6 @@
 	known map[model.InstanceID]*peer
 	// listed holds the addresses of the table of instances, by name.
 	listed map[model.InstanceID]netip.AddrPort
-	// asked is when a peer was last asked for what it knows better.
-	asked time.Time
 }
 
 // peer is what is known of another instance.
