Replace primaries sooner: members confirm a claim, leases of 900 ms

The change for a zone that was cut began 4 s after it (only a majority of all known instances counted, and a leaving holder of the duty counted as heard, through its own bulletin); each change waited the whole lease; the first waited once more for a primary that was dead; 4,123 connections were asked of databases that had no room after a loss of power.

Instances ask the first one for its view, which reads the store each 300 ms for all.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -36,7 +36,7 @@
 // Length is how long after its beginning a view proves the primaries that it
 // shows. It is a part of the gap of each failover, and the time for which the
 // store may be slow without a pause in service.
-const Length = 1200 * time.Millisecond
+const Length = 900 * time.Millisecond
 
 // Phase tells what happens to a group's primary.
 type Phase int
@@ -77,6 +77,9 @@
 	Holder, Name model.InstanceID
 	// Token rises with each change of the holder.
 	Token uint64
+	// Challenger is an instance that does not hear the holder. The holder takes
+	// the challenge away; one that stands shows that there is no holder.
+	Challenger model.InstanceID
 	// Version is the store's for the last change.
 	Version uint64
 }
@@ -90,6 +93,10 @@
 	Began time.Time
 	Rows  map[model.GroupID]Row
 	Duty  Duty
+	// Member says that this instance is listed among those that use leases. A
+	// view without it proves nothing: whoever changes a primary asks the
+	// members only whether they have seen the change.
+	Member bool
 }
 
 // Grant names a primary for one use.
@@ -174,7 +181,7 @@
 func (t *Table) IsProven(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.view.Rows != nil && now.Before(t.view.Began.Add(Length))
+	return t.view.Member && now.Before(t.view.Began.Add(Length))
 }
 
 // Judge tells whether the primary of grant was the primary until answered.
@@ -191,7 +198,7 @@
 	switch {
 	case !found || row.Epoch != grant.Epoch || row.Phase != PhaseStable:
 		return VerdictReplaced, t.changed
-	case answered.Before(t.view.Began.Add(Length)):
+	case t.view.Member && answered.Before(t.view.Began.Add(Length)):
 		return VerdictPrimary, t.changed
 	default:
 		return VerdictPending, t.changed
--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -20,6 +20,8 @@
 	// the receiver: what the sender knew after that, it knew after the receiver
 	// had said it, by the receiver's own clock.
 	Sent, Echo time.Duration
+	// Listed says that the receiver is a member in the sender's View.
+	Listed bool
 	// Leaving announces that the sender takes no further work; Stored that the
 	// store has answered it lately.
 	Leaving, Stored bool
@@ -42,7 +44,8 @@
 	Group    model.GroupID
 	Row      lease.Row
 	// Failing is for how long the sender has had no answer of the primary
-	// although it asked; zero means that the primary answers.
+	// although it asked; zero means that the primary answers, and less that the
+	// sender does not know.
 	Failing time.Duration
 	// Sampled is a position of the primary's log that covers all commits
 	// acknowledged earlier than SampleAge before Sent; zero where there is none.
@@ -50,6 +53,12 @@
 	SampleAge time.Duration
 }
 
+// BulletinWanted asks a peer for a Bulletin that echoes Sent, to renew the
+// sender's view of the table of groups.
+type BulletinWanted struct {
+	Sent time.Duration `msgpack:"sent"`
+}
+
 // DatabasesOffer passes on the databases' entries as the store held them.
 type DatabasesOffer struct {
 	Version uint64          `msgpack:"ver"`
@@ -69,5 +78,6 @@
 }
 
 func (Bulletin) isPeerMessage()        {}
+func (BulletinWanted) isPeerMessage()  {}
 func (DatabasesOffer) isPeerMessage()  {}
 func (DatabasesWanted) isPeerMessage() {}
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -82,7 +82,10 @@
 	// blocked and full are the times before which it gets no work, or no
 	// further connection.
 	blocked, full time.Time
-	failures      int
+	// fullAt is the number of connections that there were when the database
+	// took no further one.
+	fullAt   int
+	failures int
 	// heard is when it last answered, failing0 when the first of the failures
 	// since then was, and denied since when it has refused what a primary does.
 	heard, failing0, denied time.Time
@@ -110,6 +113,7 @@
 		b.measure(now, max(result.Elapsed, 2*b.latency))
 	case EndingFull:
 		b.full = now.Add(fullPause)
+		b.fullAt = b.leased - 1
 	case EndingUnreachable:
 		b.owed = time.Time{}
 		b.unreachable(now)
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -92,7 +92,7 @@
 	if now.Before(b.blocked) {
 		return false
 	}
-	if b.leased >= s.connectionShare(b) {
+	if b.leased >= s.connectionShare(b) || now.Before(b.full) && b.leased >= b.fullAt {
 		return false
 	}
 	limit := (b.Slots+s.instances-1)/s.instances + statementsAhead
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -249,17 +249,24 @@
 	return 0
 }
 
+// FailingUnknown is what Failing returns for a primary that was never heard.
+const FailingUnknown = -time.Nanosecond
+
 // Failing returns for how long a group's primary has given no answer although it
-// was asked, or zero where it answers.
+// was asked, zero where it answers, or FailingUnknown.
 func (s *Scheduler) Failing(name model.GroupID) time.Duration {
 	primary, found := s.leases.Grant(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.byID[primary.Primary]
 	if !found || b == nil {
-		return 0
+		return FailingUnknown
+	}
+	now := clock.Now()
+	if failing := b.failing(now); failing > 0 || !b.heard.IsZero() {
+		return failing
 	}
-	return b.failing(clock.Now())
+	return FailingUnknown
 }
 
 // Unheard returns the primaries that have not answered for a while and have
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -9,7 +9,8 @@
 // the one to promote flows out.
 //
 // One instance without answers proves only that its own path is broken. A change
-// for silence therefore takes a majority of the instances that are known.
+// for silence therefore takes a majority of the instances that could use the
+// primary: those that were heard and have contact with the store.
 //
 // # Usage
 //
@@ -23,21 +24,19 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
-// silentFor is how long instances must have been without an answer before they
-// count against a primary. It is longer than the slowest usual statement, and
+// SilentFor is how long instances must have been without an answer before they
+// count against a primary. It is longer than all but the slowest statements, and
 // than a reset of all connections lasts.
-const silentFor = 700 * time.Millisecond
+const SilentFor = 500 * time.Millisecond
 
 // Evidence is what is known of a group's primary.
 type Evidence struct {
 	// Known says that the primary's entry exists, and Leaving that it says it
 	// leaves.
 	Known, Leaving bool
-	// Failing holds, for each live instance that was heard, for how long the
-	// primary has given it no answer.
+	// Failing holds, for each instance that was heard and knows, for how long
+	// the primary has given it no answer.
 	Failing []time.Duration
-	// Majority is more than half of the instances that are known.
-	Majority int
 	// Others is the number of the group's other databases that stay.
 	Others int
 }
@@ -55,11 +54,11 @@
 	}
 	silent := 0
 	for _, failing := range e.Failing {
-		if failing >= silentFor {
+		if failing >= SilentFor {
 			silent++
 		}
 	}
-	if silent >= e.Majority {
+	if 2*silent > len(e.Failing) {
 		return "the primary does not answer a majority", true
 	}
 	return "", false
--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -41,6 +41,7 @@
 	{"permit", 7, true, decode[message.Permit], message.Permit{}},
 	{"bulletin", 8, true, decode[message.Bulletin], message.Bulletin{}},
 	{"databases-offer", 9, false, decode[message.DatabasesOffer], message.DatabasesOffer{}},
+	{"bulletin-wanted", 11, true, decode[message.BulletinWanted], message.BulletinWanted{}},
 	{"databases-wanted", 10, false, decode[message.DatabasesWanted], message.DatabasesWanted{}},
 }
 
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -62,6 +62,7 @@
 	},
 	message.DatabasesOffer{Version: 12, Entries: []message.DatabaseEntry{{Key: "ratings-a", Value: []byte("entry"), Version: 11}}},
 	message.DatabasesWanted{Above: 11},
+	message.BulletinWanted{Sent: 9 * time.Second},
 }
 
 func TestBytesOfEachMessage(t *testing.T) {
@@ -106,6 +107,7 @@
 		asMessage(rapid.Make[message.Permit]()),
 		asMessage(rapid.Make[message.DatabasesOffer]()),
 		asMessage(rapid.Make[message.DatabasesWanted]()),
+		asMessage(rapid.Make[message.BulletinWanted]()),
 		asMessage(rapid.Custom(func(t *rapid.T) message.Bulletin {
 			note := rapid.Custom(func(t *rapid.T) message.GroupNote {
 				return message.GroupNote{
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -30,19 +30,26 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
 
-// tickInterval is the time between two looks at what only time changes.
-const tickInterval = 250 * time.Millisecond
+const (
+	// tickInterval is the time between two looks at what only time changes.
+	tickInterval = 250 * time.Millisecond
+	// watchInterval is the time between two looks at the primaries: a fifth of
+	// the silence that counts against one.
+	watchInterval = 100 * time.Millisecond
+)
 
 // Source tells where the operator and the databases write, and decodes it.
 type Source interface {
@@ -90,6 +97,7 @@
 	stored  atomic.Int64
 	ready   atomic.Bool
 	running sync.WaitGroup
+	started time.Time
 
 	samplesMu sync.Mutex
 	samples   map[model.GroupID]*fresh.Samples
@@ -114,6 +122,7 @@
 // Start runs the fleet until ctx ends, with links to its peers. The channel gets
 // its end.
 func (f *Fleet) Start(ctx context.Context, links Links) <-chan error {
+	f.started = clock.Now()
 	f.peers.links = links
 	f.setLinks()
 	configurations, key := f.options.Source.ConfigurationTable()
@@ -126,6 +135,7 @@
 		f.register,
 		f.announce,
 		f.tick,
+		f.watchPrimaries,
 	} {
 		f.running.Add(1)
 		go func() {
@@ -152,8 +162,7 @@
 		case <-ticker.C:
 			f.expireDatabases()
 			f.createRows(ctx)
-			f.probePrimaries(ctx)
-			f.steward(ctx)
+			f.forgetMembers(ctx)
 			f.Pool.Sweep(f.isKnown)
 			f.judgeReadiness()
 			f.options.Log.Flush(time.Now())
@@ -161,6 +170,37 @@
 	}
 }
 
+// watchPrimaries finds primaries that fail, tells the peers at once, and begins
+// changes.
+func (f *Fleet) watchPrimaries(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	failing := map[model.GroupID]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.probePrimaries(ctx)
+			if f.hasFailed(failing) {
+				f.broadcast()
+			}
+			f.steward(ctx)
+		}
+	}
+}
+
+// hasFailed reports whether a primary fails that did not before.
+func (f *Fleet) hasFailed(before map[model.GroupID]bool) bool {
+	more := false
+	for name := range f.Leases.View().Rows {
+		fails := f.Scheduler.Failing(name) >= succession.SilentFor
+		more = more || fails && !before[name]
+		before[name] = fails
+	}
+	return more
+}
+
 // Of implements session.Samples.
 func (f *Fleet) Of(group model.GroupID) *fresh.Samples {
 	f.samplesMu.Lock()
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -3,32 +3,39 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
 const (
-	// groupTable is the table of groups: one row for each, by its name.
+	// groupTable is the table of groups, with the duty and the members: all that
+	// has to be seen as of one moment.
 	groupTable = "eelgrassfold-groups"
-	// renewAge is the age of the view at which the table is read again: late
-	// enough to spare calls, early enough for a second try inside the lease.
-	renewAge = 500 * time.Millisecond
+	// The beginnings of its keys, and the key of the duty.
+	groupPrefix  = "group/"
+	memberPrefix = "member/"
+	dutyKey      = "duty/promotion"
+	// renewAge is the age of the view at which the first instance reads the table
+	// again: a third of a lease. The others ask the first at askAge, so that one
+	// call serves all, and read the table themselves at renewSpare, which leaves
+	// time for one more try.
+	renewAge   = 300 * time.Millisecond
+	askAge     = 500 * time.Millisecond
+	renewSpare = 680 * time.Millisecond
 	// renewTimeout bounds a read of the table.
-	renewTimeout = 500 * time.Millisecond
-	// renewSpare is that age for the instances that are not the first: they hear
-	// the first one's views.
-	renewSpare = 850 * time.Millisecond
+	renewTimeout = 600 * time.Millisecond
 	// storedFor is how long the store counts as reachable after an answer.
 	storedFor = 2 * time.Second
-	// dutyKey is the row of the duty; no group has that name.
-	dutyKey = "duty of promotion"
 	// renewPause is the least time between two reads.
 	renewPause = 50 * time.Millisecond
 )
@@ -77,14 +84,23 @@
 func (f *Fleet) awaitRenewal(ctx context.Context) {
 	sleep(ctx, renewPause)
 	for ctx.Err() == nil {
-		age := renewSpare
-		if f.isFirst() {
-			age = renewAge
+		first, isFirst := f.first()
+		age := clock.Since(f.Leases.View().Began)
+		left := membersAge - f.membersAge()
+		switch {
+		case isFirst:
+			left = min(left, renewAge-age)
+		case age < askAge:
+			left = min(left, askAge-age)
+		default:
+			left = min(left, renewSpare-age)
 		}
-		left := age - clock.Since(f.Leases.View().Began)
 		if left <= 0 {
 			return
 		}
+		if !isFirst && age >= askAge {
+			f.peers.links.Act(message.SendPeer{To: first, Body: message.BulletinWanted{Sent: sinceBoot(clock.Now())}})
+		}
 		timer := time.NewTimer(left)
 		select {
 		case <-ctx.Done():
@@ -97,6 +113,13 @@
 	}
 }
 
+// membersAge returns the age of what is known of the members.
+func (f *Fleet) membersAge() time.Duration {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	return clock.Since(f.peers.membersRead)
+}
+
 // readGroups reads the table of groups once.
 func (f *Fleet) readGroups(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -108,23 +131,41 @@
 	}
 	f.stored.Store(int64(sinceBoot(clock.Now())))
 	view := lease.View{Version: rows.Version, Began: began, Rows: map[model.GroupID]lease.Row{}}
+	members := map[model.InstanceID]netip.AddrPort{}
 	for _, row := range rows.Rows {
-		if row.Key == dutyKey {
-			f.decode(row, &view.Duty)
-			view.Duty.Version = row.Version
-			continue
+		f.takeRow(row, &view, members)
+	}
+	_, view.Member = members[f.options.Name]
+	f.takeMembers(members, view.Version)
+	f.learnView(view, "store")
+	return nil
+}
+
+// takeRow takes one row of the table of groups into a view or among the members.
+func (f *Fleet) takeRow(row store.Row, view *lease.View, members map[model.InstanceID]netip.AddrPort) {
+	if name, is := strings.CutPrefix(row.Key, memberPrefix); is {
+		var address netip.AddrPort
+		if f.decode(row, &address) {
+			members[model.InstanceID(name)] = address
 		}
+		return
+	}
+	if name, is := strings.CutPrefix(row.Key, groupPrefix); is {
 		var decoded lease.Row
-		if !f.decode(row, &decoded) {
-			continue
+		if f.decode(row, &decoded) {
+			decoded.Version = row.Version
+			view.Rows[model.GroupID(name)] = decoded
 		}
-		decoded.Version = row.Version
-		view.Rows[model.GroupID(row.Key)] = decoded
+		return
+	}
+	if row.Key == dutyKey && f.decode(row, &view.Duty) {
+		view.Duty.Version = row.Version
 	}
-	f.learnView(view, "store")
-	return nil
 }
 
+// groupKey returns the key of a group's row.
+func groupKey(name model.GroupID) string { return groupPrefix + string(name) }
+
 // decode reads a row's value and reports whether it could.
 func (f *Fleet) decode(row store.Row, into any) bool {
 	err := msgpack.Unmarshal(row.Value, into)
@@ -173,13 +214,20 @@
 		row := lease.Row{
 			Epoch: 1, Phase: lease.PhaseStable, Primary: group.primary, Steward: f.options.Instance, Reason: "first row",
 		}
-		_, err := f.write(ctx, store.Change{
-			Expected: []store.Row{{Table: groupTable, Key: string(group.name)}},
+		change := store.Change{
+			Expected: []store.Row{{Table: groupTable, Key: groupKey(group.name)}},
 			Set: []store.Row{
-				{Table: groupTable, Key: string(group.name), Value: f.encode(&row)},
+				{Table: groupTable, Key: groupKey(group.name), Value: f.encode(&row)},
 				{Table: logbookTable, Key: logbookKey(group.name, row.Epoch), Value: f.encode(&row)},
 			},
-		})
+		}
+		if duty := view.Duty; duty.Holder == "" {
+			mine := lease.Duty{Holder: f.options.Instance, Name: f.options.Name, Token: 1}
+			change.Expected = append(change.Expected, store.Row{Table: groupTable, Key: dutyKey})
+			change.Set = append(change.Set, store.Row{Table: groupTable, Key: dutyKey, Value: f.encode(&mine)})
+			view.Duty = mine
+		}
+		_, err := f.write(ctx, change)
 		f.noteRow(group.name, row, err)
 		f.wantRenewal()
 	}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -17,23 +18,26 @@
 )
 
 const (
-	// instanceTable is the table of instances: the address of each for its
-	// peers, by its name.
-	instanceTable = "eelgrassfold-instances"
-	// bulletinInterval is the time between two bulletins to each peer: a third
-	// of a lease, so that a lost one ends none.
-	bulletinInterval = 400 * time.Millisecond
-	// aliveFor is how long an instance counts as alive after its last bulletin.
-	aliveFor = 3 * bulletinInterval
+	// bulletinInterval is the time between two bulletins to each peer. What is
+	// urgent is sent at once.
+	bulletinInterval = 500 * time.Millisecond
+	// aliveFor is how long an instance counts as alive after its last message,
+	// and unlinkedFor where its link is broken besides.
+	aliveFor    = 2*bulletinInterval + 200*time.Millisecond
+	unlinkedFor = 400 * time.Millisecond
 	// rememberedFor is how long an instance that was heard once keeps its share
 	// of the databases' connections: the databases keep those of a dead one
 	// open for three seconds, and a restarted one comes back within it.
 	rememberedFor = 15 * time.Second
-	// membersInterval is the time between two reads of the table of instances.
-	membersInterval = 20 * time.Second
-	// membersFirst is the pause before the first read, in which the others that
-	// start together register themselves.
-	membersFirst = 300 * time.Millisecond
+	// forgottenAfter is how long a member must not have been heard before its
+	// row is deleted. listedFor is how old a read of the members may be for
+	// peers to rely on it: a member that was deleted must not be told that it
+	// is one.
+	forgottenAfter = 10 * time.Minute
+	listedFor      = 2 * time.Minute
+	// membersAge is the age at which the members are read again, whatever the
+	// peers tell.
+	membersAge = time.Minute
 )
 
 // Links carries messages to peers.
@@ -46,8 +50,13 @@
 	mu    sync.Mutex
 	links Links
 	known map[model.InstanceID]*peer
-	// listed holds the addresses of the table of instances, by name.
-	listed map[model.InstanceID]netip.AddrPort
+	// members holds the addresses of the other members, by name, as of a version
+	// of the table of groups.
+	members        map[model.InstanceID]netip.AddrPort
+	membersVersion uint64
+	membersRead    time.Time
+	// news is closed when a bulletin was heard, and replaced then.
+	news chan struct{}
 }
 
 // peer is what is known of another instance.
@@ -57,72 +66,91 @@
 	bulletin message.Bulletin
 }
 
+// isAlive reports whether the instance was heard lately.
+func (p *peer) isAlive(now time.Time) bool {
+	silent := now.Sub(p.heard)
+	return silent < unlinkedFor || p.linked && silent < aliveFor
+}
+
 func newPeers() peers {
-	return peers{known: map[model.InstanceID]*peer{}, listed: map[model.InstanceID]netip.AddrPort{}}
+	return peers{known: map[model.InstanceID]*peer{}, news: make(chan struct{})}
 }
 
 // -----------------------------------------------------------------------------
 // Membership.
 
-// register writes this instance into the table of instances and learns the
-// others from it.
+// register makes this instance a member, and again whenever the store has
+// forgotten it.
 func (f *Fleet) register(ctx context.Context) {
 	pause := newPause()
-	written := false
 	for ctx.Err() == nil {
-		if !written {
-			written = f.writeMember(ctx)
-			sleep(ctx, membersFirst)
+		if f.leaving.Load() || f.isMember() {
+			sleep(ctx, tickInterval)
+			continue
 		}
-		if written && f.readMembers(ctx) {
+		_, err := f.write(ctx, store.Change{Set: []store.Row{{
+			Table: groupTable, Key: memberPrefix + string(f.options.Name), Value: f.encode(f.options.Peer),
+		}}})
+		if err == nil {
 			pause.Reset()
-			sleep(ctx, membersInterval)
+			f.wantRenewal()
+			sleep(ctx, writeTimeout)
 			continue
 		}
+		f.note(event.DependencyLost, event.F("dependency", "store/member"), event.F("error", err.Error()))
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
-func (f *Fleet) writeMember(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	_, err := f.options.Store.Write(ctx, store.Change{Set: []store.Row{{
-		Table: instanceTable, Key: string(f.options.Name), Value: []byte(f.options.Peer.String()),
-	}}})
-	if err != nil {
-		f.note(event.DependencyLost, event.F("dependency", "store/"+instanceTable), event.F("error", err.Error()))
+// forgetMembers deletes the rows of members that nobody can have heard for long.
+// Members that were never heard count from this instance's start.
+func (f *Fleet) forgetMembers(ctx context.Context) {
+	f.peers.mu.Lock()
+	now := clock.Now()
+	heard := map[model.InstanceID]time.Time{}
+	for _, p := range f.peers.known {
+		if p.heard.After(heard[p.bulletin.Name]) {
+			heard[p.bulletin.Name] = p.heard
+		}
+	}
+	var gone []store.Row
+	for name := range f.peers.members {
+		if now.Sub(f.started) > forgottenAfter && now.Sub(heard[name]) > forgottenAfter {
+			gone = append(gone, store.Row{Table: groupTable, Key: memberPrefix + string(name)})
+		}
+	}
+	f.peers.mu.Unlock()
+	if len(gone) == 0 || !f.isFirst() {
+		return
+	}
+	if _, err := f.write(ctx, store.Change{Delete: gone}); err != nil {
+		f.note(event.DependencyLost, event.F("dependency", "store/member"), event.F("error", err.Error()))
 	}
-	return err == nil
+	f.wantRenewal()
 }
 
-func (f *Fleet) readMembers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	rows, err := f.options.Store.Read(ctx, instanceTable)
-	if err != nil {
-		f.note(event.DependencyLost, event.F("dependency", "store/"+instanceTable), event.F("error", err.Error()))
-		return false
+// isMember reports whether the newest view lists this instance.
+func (f *Fleet) isMember() bool { return f.Leases.View().Member }
+
+// takeMembers takes in the members as of a version of the table of groups.
+func (f *Fleet) takeMembers(members map[model.InstanceID]netip.AddrPort, version uint64) {
+	delete(members, f.options.Name)
+	f.peers.mu.Lock()
+	changed := version > f.peers.membersVersion && !maps.Equal(members, f.peers.members)
+	if version > f.peers.membersVersion {
+		f.peers.members, f.peers.membersVersion = members, version
 	}
-	listed := map[model.InstanceID]netip.AddrPort{}
-	for _, row := range rows.Rows {
-		address, err := netip.ParseAddrPort(string(row.Value))
-		if err != nil {
-			f.note(event.ContentRejected, event.F("table", instanceTable), event.F("key", row.Key), event.F("error", err.Error()))
-			continue
-		}
-		if name := model.InstanceID(row.Key); name != f.options.Name {
-			listed[name] = address
-		}
+	if version >= f.peers.membersVersion {
+		f.peers.membersRead = clock.Now()
 	}
-	f.peers.mu.Lock()
-	f.peers.listed = listed
 	f.peers.mu.Unlock()
-	f.setLinks()
-	return true
+	if changed {
+		f.setLinks()
+	}
 }
 
-// setLinks tells the peer edge whom to keep a link to: all that are listed, and
-// the seeds.
+// setLinks tells the peer edge whom to keep a link to: all members, and the
+// seeds.
 func (f *Fleet) setLinks() {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
@@ -133,7 +161,7 @@
 			targets = append(targets, target)
 		}
 	}
-	for _, address := range f.peers.listed {
+	for _, address := range f.peers.members {
 		add(address)
 	}
 	for _, seed := range f.options.Seeds {
@@ -150,7 +178,7 @@
 	now := clock.Now()
 	var ids []model.InstanceID
 	for id, p := range f.peers.known {
-		if now.Sub(p.heard) < aliveFor && !p.bulletin.Leaving {
+		if p.isAlive(now) && !p.bulletin.Leaving {
 			ids = append(ids, id)
 		}
 	}
@@ -158,18 +186,25 @@
 	return ids
 }
 
-// isFirst reports whether no live instance with contact to the store comes before
-// this one: it is the one that asks the store for all.
-func (f *Fleet) isFirst() bool {
+// first returns the live instance with contact to the store whose ID comes before
+// all others, and whether that is this one: it asks the store for all.
+func (f *Fleet) first() (model.InstanceID, bool) {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
 	now := clock.Now()
+	least := f.options.Instance
 	for id, p := range f.peers.known {
-		if id < f.options.Instance && now.Sub(p.heard) < aliveFor && p.bulletin.Stored && !p.bulletin.Leaving {
-			return false
+		if id < least && p.isAlive(now) && p.bulletin.Stored && !p.bulletin.Leaving {
+			least = id
 		}
 	}
-	return true
+	return least, least == f.options.Instance
+}
+
+// isFirst reports whether this instance is the first.
+func (f *Fleet) isFirst() bool {
+	_, is := f.first()
+	return is
 }
 
 // instances returns the number of instances that share the databases.
@@ -183,7 +218,7 @@
 			names[p.bulletin.Name] = true
 		}
 	}
-	return max(len(names), min(len(f.peers.listed)+1, f.options.Expected))
+	return max(len(names), min(len(f.peers.members)+1, f.options.Expected))
 }
 
 // majority returns how many instances, this one included, are more than half of
@@ -207,21 +242,42 @@
 	}
 }
 
+// answer sends the bulletin that a peer has asked for.
+func (f *Fleet) answer(to model.InstanceID, wanted message.BulletinWanted) {
+	f.peers.mu.Lock()
+	p := f.peers.get(to)
+	p.heard = clock.Now()
+	p.bulletin.Sent = wanted.Sent
+	last := p.bulletin
+	members, isRecent := f.peers.members, clock.Since(f.peers.membersRead) < listedFor
+	f.peers.mu.Unlock()
+	f.send(to, f.bulletin(), last, members, isRecent)
+}
+
+// send addresses a bulletin to one peer.
+func (f *Fleet) send(
+	to model.InstanceID, b, last message.Bulletin, members map[model.InstanceID]netip.AddrPort, isRecent bool,
+) {
+	_, listed := members[last.Name]
+	b.Echo, b.Listed = last.Sent, listed && isRecent
+	f.peers.links.Act(message.SendPeer{To: to, Body: b})
+}
+
 // broadcast sends a bulletin to every linked peer. What was heard of each is
 // read first: the bulletin's ages must not be older than that.
 func (f *Fleet) broadcast() {
 	f.peers.mu.Lock()
-	echoes := map[model.InstanceID]time.Duration{}
+	heard := map[model.InstanceID]message.Bulletin{}
 	for id, p := range f.peers.known {
 		if p.linked {
-			echoes[id] = p.bulletin.Sent
+			heard[id] = p.bulletin
 		}
 	}
+	members, isRecent := f.peers.members, clock.Since(f.peers.membersRead) < listedFor
 	f.peers.mu.Unlock()
 	bulletin := f.bulletin()
-	for id, echo := range echoes {
-		bulletin.Echo = echo
-		f.peers.links.Act(message.SendPeer{To: id, Body: bulletin})
+	for id, last := range heard {
+		f.send(id, bulletin, last, members, isRecent)
 	}
 }
 
@@ -236,6 +292,8 @@
 		View: view.Version, ViewAge: now.Sub(view.Began), Duty: view.Duty, Holder: f.hears(view.Duty.Holder),
 	}
 	for name, row := range view.Rows {
+		// Who wrote the row and why is for the logs of those that read it.
+		row.Steward, row.Reason = "", ""
 		note := message.GroupNote{Group: name, Row: row, Failing: f.Scheduler.Failing(name)}
 		if sample, found := f.Of(name).Newest(); found {
 			note.Sampled, note.SampleAge = sample.Position, now.Sub(sample.At)
@@ -251,12 +309,12 @@
 // hears reports whether an instance is this one or was heard lately.
 func (f *Fleet) hears(id model.InstanceID) bool {
 	if id == f.options.Instance {
-		return true
+		return !f.leaving.Load()
 	}
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
 	p, found := f.peers.known[id]
-	return found && clock.Since(p.heard) < aliveFor && p.bulletin.Stored && !p.bulletin.Leaving
+	return found && p.isAlive(clock.Now()) && p.bulletin.Stored && !p.bulletin.Leaving
 }
 
 // -----------------------------------------------------------------------------
@@ -290,6 +348,13 @@
 	return entry
 }
 
+// awaitNews returns a channel that is closed when the next bulletin is heard.
+func (p *peers) awaitNews() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.news
+}
+
 // greet sends a peer the first bulletin.
 func (f *Fleet) greet(id model.InstanceID) {
 	f.peers.links.Act(message.SendPeer{To: id, Body: f.bulletin()})
@@ -300,6 +365,8 @@
 	switch body := body.(type) {
 	case message.Bulletin:
 		f.hearBulletin(from, body)
+	case message.BulletinWanted:
+		f.answer(from, body)
 	case message.ManifestWanted:
 		if version, raw := f.rawConfiguration(); version > body.Above {
 			f.peers.links.Act(message.SendPeer{To: from, Body: message.ManifestOffer{Number: version, Body: raw}})
@@ -322,6 +389,8 @@
 	isNew := p.heard.IsZero()
 	p.heard = clock.Now()
 	p.bulletin = b
+	close(f.peers.news)
+	f.peers.news = make(chan struct{})
 	f.peers.mu.Unlock()
 	if b.Echo > 0 {
 		f.hearView(from, b)
@@ -344,7 +413,7 @@
 	echoed := time.Unix(0, 0).Add(b.Echo)
 	if b.View > 0 {
 		view := lease.View{
-			Version: b.View, Began: echoed.Add(-b.ViewAge), Duty: b.Duty,
+			Version: b.View, Began: echoed.Add(-b.ViewAge), Duty: b.Duty, Member: b.Listed,
 			Rows: make(map[model.GroupID]lease.Row, len(b.Groups)),
 		}
 		for _, note := range b.Groups {
--- a/internal/node/fleet/steward.go
+++ b/internal/node/fleet/steward.go
@@ -22,6 +22,9 @@
 	logbookTable = "eelgrassfold-logbook"
 	// inquireTimeout bounds the question for a database's standing.
 	inquireTimeout = 400 * time.Millisecond
+	// stepDownWait is how long a change waits for the old primary's standing once
+	// nobody uses it any more. One that answers at all answers within it.
+	stepDownWait = 60 * time.Millisecond
 	// catchUpLimit is how long a planned change waits for a replica to receive
 	// all that the old primary has: several times the delay of a slow link.
 	catchUpLimit = 600 * time.Millisecond
@@ -32,6 +35,9 @@
 	leadTimeout = 3 * time.Second
 	// stewardPause is the pause between two looks during a change.
 	stewardPause = 50 * time.Millisecond
+	// challengeWait is how long a challenge of the duty's holder stands before
+	// the challenger takes the duty: the holder sees it within a renewal.
+	challengeWait = 1600 * time.Millisecond
 	// resumeAfter is how long a change that nobody works on rests before this
 	// instance begins it anew.
 	resumeAfter = 500 * time.Millisecond
@@ -41,15 +47,20 @@
 type stewardship struct {
 	// busy holds the groups that a goroutine changes; it belongs to the tick.
 	busy map[model.GroupID]chan struct{}
+	// challenge is the version of the duty's row that holds this instance's
+	// challenge, since when.
+	challenge  uint64
+	challenged time.Time
 }
 
 // steward begins changes of primary where they are needed and this instance's
 // to make.
 func (f *Fleet) steward(ctx context.Context) {
 	view := f.Leases.View()
-	if f.leaving.Load() || !f.Leases.IsProven(clock.Now()) || !f.isSteward(view.Duty) {
+	if f.leaving.Load() || !f.Leases.IsProven(clock.Now()) {
 		return
 	}
+	f.answerChallenge(ctx, view.Duty)
 	for name, row := range view.Rows {
 		if ended, found := f.stewardship.busy[name]; found {
 			select {
@@ -63,7 +74,7 @@
 		if !needed {
 			reason, needed = succession.Judge(f.evidence(name, row))
 		}
-		if !needed {
+		if !needed || !f.isSteward(ctx, view.Duty) {
 			continue
 		}
 		ended := make(chan struct{})
@@ -78,8 +89,9 @@
 }
 
 // isSteward reports whether changes of primary are this instance's to make: it
-// holds the duty, or the holder is not there and it is the first of a majority.
-func (f *Fleet) isSteward(duty lease.Duty) bool {
+// holds the duty, or the holder is not there and it is the first of those that
+// are. Without a majority that does not hear the holder, it is challenged first.
+func (f *Fleet) isSteward(ctx context.Context, duty lease.Duty) bool {
 	switch {
 	case duty.Holder == f.options.Instance:
 		return true
@@ -89,9 +101,47 @@
 		return true
 	case f.hears(duty.Holder) || f.peersHear(duty.Holder):
 		return false
+	case len(f.alive())+1 >= f.majority():
+		return true
 	default:
-		return len(f.alive())+1 >= f.majority()
+		return f.hasChallenged(ctx, duty)
+	}
+}
+
+// hasChallenged reports whether this instance's challenge of the holder has stood
+// for long; it makes one where there is none.
+func (f *Fleet) hasChallenged(ctx context.Context, duty lease.Duty) bool {
+	s := &f.stewardship
+	if s.challenge == duty.Version {
+		return clock.Since(s.challenged) > challengeWait
+	}
+	duty.Challenger = f.options.Instance
+	if version, err := f.writeDuty(ctx, duty); err == nil {
+		s.challenge, s.challenged = version, clock.Now()
+	}
+	return false
+}
+
+// answerChallenge takes a challenge of this instance as the duty's holder away.
+func (f *Fleet) answerChallenge(ctx context.Context, duty lease.Duty) {
+	if duty.Holder != f.options.Instance || duty.Challenger == "" {
+		return
 	}
+	duty.Challenger = ""
+	// Where the write fails, the next view shows the challenge again.
+	_, _ = f.writeDuty(ctx, duty)
+}
+
+// writeDuty replaces the duty's row as it was seen.
+func (f *Fleet) writeDuty(ctx context.Context, duty lease.Duty) (uint64, error) {
+	version, err := f.write(ctx, store.Change{
+		Expected: []store.Row{{Table: groupTable, Key: dutyKey, Version: duty.Version}},
+		Set:      []store.Row{{Table: groupTable, Key: dutyKey, Value: f.encode(&duty)}},
+	})
+	f.note(event.DutyWritten, event.F("holder", duty.Holder), event.F("token", duty.Token),
+		event.F("challenger", duty.Challenger), event.F("outcome", outcome(err)))
+	f.wantRenewal()
+	return version, err
 }
 
 // peersHear reports whether a live peer has heard the holder of the duty.
@@ -100,7 +150,7 @@
 	defer f.peers.mu.Unlock()
 	now := clock.Now()
 	for _, p := range f.peers.known {
-		if now.Sub(p.heard) < aliveFor && p.bulletin.Duty.Holder == holder && p.bulletin.Holder {
+		if p.isAlive(now) && p.bulletin.Duty.Holder == holder && p.bulletin.Holder {
 			return true
 		}
 	}
@@ -109,15 +159,18 @@
 
 // evidence gathers what is known of a group's primary.
 func (f *Fleet) evidence(name model.GroupID, row lease.Row) succession.Evidence {
-	e := succession.Evidence{Majority: f.majority(), Failing: []time.Duration{f.Scheduler.Failing(name)}}
+	e := succession.Evidence{}
+	if failing := f.Scheduler.Failing(name); failing >= 0 {
+		e.Failing = append(e.Failing, failing)
+	}
 	f.peers.mu.Lock()
 	now := clock.Now()
 	for _, p := range f.peers.known {
-		if now.Sub(p.heard) >= aliveFor {
+		if !p.isAlive(now) || !p.bulletin.Stored {
 			continue
 		}
 		for _, note := range p.bulletin.Groups {
-			if note.Group == name && note.Row.Epoch == row.Epoch {
+			if note.Group == name && note.Row.Epoch == row.Epoch && note.Failing >= 0 {
 				e.Failing = append(e.Failing, note.Failing)
 			}
 		}
@@ -144,10 +197,9 @@
 	if !ok {
 		return
 	}
-	// No instance uses the old primary, and no earlier holder of the duty acts,
-	// once all views from before the claim have run out.
-	sleep(ctx, lease.Length)
-	old := f.stepDown(ctx, name, claimed)
+	answers := f.inquirePrimary(ctx, name, row.Primary)
+	f.awaitRevoked(ctx, name, claimed.Version, duty.Holder == f.options.Instance)
+	old := f.stepDown(ctx, name, answers)
 	chosen, standing, ok := f.choose(ctx, name, claimed, old)
 	if !ok {
 		f.note(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
@@ -171,6 +223,52 @@
 		event.F("took", clock.Since(began).String()))
 }
 
+// awaitRevoked waits until no instance uses the old primary and no earlier holder
+// of the duty acts: all views from before the claim have run out, or, where this
+// instance held the duty already, all members say that they have seen the claim.
+func (f *Fleet) awaitRevoked(ctx context.Context, name model.GroupID, version uint64, held bool) {
+	began := clock.Now()
+	for clock.Since(began) < lease.Length && ctx.Err() == nil {
+		changed := f.peers.awaitNews()
+		if held && f.areRevoked(version) {
+			break
+		}
+		left := time.NewTimer(lease.Length - clock.Since(began))
+		select {
+		case <-changed:
+		case <-left.C:
+		case <-ctx.Done():
+		}
+		left.Stop()
+	}
+	f.note(event.LeasesRevoked, event.F("group", name), event.F("waited", clock.Since(began).String()))
+}
+
+// areRevoked reports whether all members have seen a version of the table of
+// groups. The members are those of a read after it.
+func (f *Fleet) areRevoked(version uint64) bool {
+	if f.Leases.View().Version < version {
+		return false
+	}
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	if f.peers.membersVersion < version {
+		return false
+	}
+	seen := map[model.InstanceID]bool{}
+	for _, p := range f.peers.known {
+		if p.bulletin.View >= version {
+			seen[p.bulletin.Name] = true
+		}
+	}
+	for name := range f.peers.members {
+		if !seen[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // claim marks the group's row as changing and makes this instance the holder of
 // the duty, in one transaction. It returns the row as written.
 func (f *Fleet) claim(ctx context.Context, name model.GroupID, row lease.Row, duty lease.Duty, reason string) (lease.Row, bool) {
@@ -180,10 +278,10 @@
 	}
 	change := store.Change{
 		Expected: []store.Row{
-			{Table: groupTable, Key: string(name), Version: row.Version},
+			{Table: groupTable, Key: groupKey(name), Version: row.Version},
 			{Table: groupTable, Key: dutyKey, Version: duty.Version},
 		},
-		Set: []store.Row{{Table: groupTable, Key: string(name), Value: f.encode(&claimed)}},
+		Set: []store.Row{{Table: groupTable, Key: groupKey(name), Value: f.encode(&claimed)}},
 	}
 	if duty.Holder != f.options.Instance {
 		mine := lease.Duty{Holder: f.options.Instance, Name: f.options.Name, Token: duty.Token + 1}
@@ -206,9 +304,9 @@
 // reports true also where another instance has gone on with the change.
 func (f *Fleet) finish(ctx context.Context, name model.GroupID, claimed, next lease.Row) bool {
 	_, err := f.write(ctx, store.Change{
-		Expected: []store.Row{{Table: groupTable, Key: string(name), Version: claimed.Version}},
+		Expected: []store.Row{{Table: groupTable, Key: groupKey(name), Version: claimed.Version}},
 		Set: []store.Row{
-			{Table: groupTable, Key: string(name), Value: f.encode(&next)},
+			{Table: groupTable, Key: groupKey(name), Value: f.encode(&next)},
 			{Table: logbookTable, Key: logbookKey(name, next.Epoch), Value: f.encode(&next)},
 		},
 	})
@@ -217,23 +315,37 @@
 	return err == nil || store.OutcomeOf(err) == store.OutcomeConflict
 }
 
-// stepDown tells the old primary to lead no more, and returns how far its log
-// reaches where it answers.
-func (f *Fleet) stepDown(ctx context.Context, name model.GroupID, row lease.Row) model.Position {
+// inquirePrimary asks the old primary for its standing while the leases run out;
+// the channel gets its answer, if there is one.
+func (f *Fleet) inquirePrimary(ctx context.Context, name model.GroupID, id model.DatabaseID) <-chan standingOf {
+	answers := make(chan standingOf, 1)
 	for _, d := range f.databasesOf(name) {
-		if d.ID != row.Primary {
+		if d.ID != id {
 			continue
 		}
-		standing, err := f.ask(ctx, d, statement.Inquire{})
-		if err != nil {
-			return model.Position{}
-		}
-		standing, err = f.ask(ctx, d, statement.StepDown{Term: standing.Term + 1})
-		f.note(event.PrimarySteppedDown, event.F("group", name), event.F("database", d.ID),
+		go func() {
+			if standing, err := f.ask(ctx, d, statement.Inquire{}); err == nil {
+				answers <- standingOf{database: d, standing: standing}
+			}
+		}()
+	}
+	return answers
+}
+
+// stepDown tells the old primary to lead no more where it has answered, and
+// returns how far its log reaches.
+func (f *Fleet) stepDown(ctx context.Context, name model.GroupID, answers <-chan standingOf) model.Position {
+	wait := time.NewTimer(stepDownWait)
+	defer wait.Stop()
+	select {
+	case old := <-answers:
+		standing, err := f.ask(ctx, old.database, statement.StepDown{Term: old.standing.Term + 1})
+		f.note(event.PrimarySteppedDown, event.F("group", name), event.F("database", old.database.ID),
 			event.F("received", standing.Received.String()), event.F("outcome", outcome(err)))
 		return standing.Received
+	case <-wait.C:
+		return model.Position{}
 	}
-	return model.Position{}
 }
 
 // choose asks the other databases how far their logs reach and returns the one
--- a/internal/report/event/event_steward.go
+++ b/internal/report/event/event_steward.go
@@ -46,8 +46,19 @@
 		Text:   "A database was asked for its standing, or to step down.",
 		Fields: []string{"group", "database", "statement", "role", "term", "received", "outcome"},
 	}
+	DutyWritten = Event{
+		Number: 428, Name: "duty-written", Level: LevelInfo,
+		Text:   "This instance has changed the row of the duty without taking it: a challenge, or its answer.",
+		Fields: []string{"holder", "token", "challenger", "outcome"},
+	}
+	LeasesRevoked = Event{
+		Number: 429, Name: "leases-revoked", Level: LevelInfo,
+		Text:   "No instance uses the old primary of a group any more.",
+		Fields: []string{"group", "waited"},
+	}
 )
 
 var stewardEvents = []Event{
 	RowSeen, RowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
+	DutyWritten, LeasesRevoked,
 }
