Survey a group's databases while neither the store nor a peer gives a view

Change: all databases of the group are asked after the answer; where all are in one term and only the primary leads, no other had been promoted then. Ruled out: leases longer than the outage, since each change of primary waits them out.

--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -368,7 +368,7 @@
 func (f *Fleet) judgeReadiness() {
 	d := &f.directory
 	now := clock.Now()
-	proven := f.Leases.IsProven(now)
+	proven := f.isProven(now)
 	d.mu.Lock()
 	if proven {
 		d.unprovenSince = time.Time{}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -14,6 +14,7 @@
 //	directory.go  the configuration and the databases in force
 //	leases.go     the table of groups: views, and the first rows
 //	prove.go      verdicts for sessions
+//	survey.go     proofs while neither the store nor a peer answers
 //	peers.go      the other instances: who is alive, what they know
 //	steward.go    changes of primary
 //
@@ -91,6 +92,7 @@
 	directory   directory
 	renewal     renewal
 	peers       peers
+	surveys     surveys
 	stewardship stewardship
 	leaving     atomic.Bool
 	// stored is when the store last answered, since boot.
@@ -114,6 +116,7 @@
 		directory:   newDirectory(),
 		renewal:     renewal{wanted: make(chan struct{}, 1)},
 		peers:       newPeers(),
+		surveys:     surveys{rounds: map[model.GroupID]*round{}},
 		stewardship: stewardship{busy: map[model.GroupID]chan struct{}{}},
 		samples:     map[model.GroupID]*fresh.Samples{},
 	}
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -5,22 +5,54 @@
 	"errors"
 	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 )
 
-// probeAfter is the time without an answer after which a primary is asked for its
-// standing.
-const probeAfter = time.Second
+const (
+	// probeAfter is the time without an answer after which a primary is asked
+	// for its standing.
+	probeAfter = time.Second
+	// storeWait is how long a verdict waits for the store or a peer before the
+	// databases themselves are surveyed: several times what a renewal takes.
+	storeWait = 60 * time.Millisecond
+)
 
-// Prove implements session.Prover.
+// Prove implements session.Prover. The proof is a view of the table of groups;
+// where none comes, all databases of the group are asked.
 func (f *Fleet) Prove(ctx context.Context, grant lease.Grant, answered time.Time) lease.Verdict {
 	if verdict := f.Leases.Judge(grant, answered); verdict != lease.VerdictPending {
 		return verdict
 	}
 	f.wantRenewal()
-	return f.Leases.Await(grant, answered, ctx.Done())
+	soon, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	if verdict := f.Leases.Await(grant, answered, soon.Done()); verdict != lease.VerdictPending {
+		return verdict
+	}
+	return f.proveBySurvey(ctx, grant, answered)
+}
+
+// proveBySurvey surveys the group until that or a view tells, or ctx ends.
+func (f *Fleet) proveBySurvey(ctx context.Context, grant lease.Grant, answered time.Time) lease.Verdict {
+	for {
+		if f.surveys.confirm(ctx, f, grant, answered) {
+			return lease.VerdictPrimary
+		}
+		pause, cancel := context.WithTimeout(ctx, surveyPause)
+		verdict := f.Leases.Await(grant, answered, pause.Done())
+		cancel()
+		if verdict != lease.VerdictPending || ctx.Err() != nil {
+			return verdict
+		}
+	}
+}
+
+// isProven reports whether primaries can be proven now, by a view or by surveys.
+func (f *Fleet) isProven(now time.Time) bool {
+	return f.Leases.IsProven(now) || f.surveys.isRecent(now)
 }
 
 // probePrimaries asks the primaries that have given this instance no answer for
@@ -42,5 +74,10 @@
 	return errors.As(err, &failure) && failure.Code != statement.CodeWrongDatabase
 }
 
-// Doubt implements session.Prover: the table of groups is read at once.
-func (f *Fleet) Doubt(model.GroupID) { f.wantRenewal() }
+// Doubt implements session.Prover: the table of groups is read at once where it
+// was not just now.
+func (f *Fleet) Doubt(model.GroupID) {
+	if clock.Since(f.Leases.View().Began) > renewPause {
+		f.wantRenewal()
+	}
+}
--- a/internal/report/event/event_steward.go
+++ b/internal/report/event/event_steward.go
@@ -56,9 +56,15 @@
 		Text:   "No instance uses the old primary of a group any more.",
 		Fields: []string{"group", "waited"},
 	}
+	GroupSurveyed = Event{
+		Number: 430, Name: "group-surveyed", Level: LevelInfo,
+		Text: "Without the store and the peers, all databases of a group were asked whether the primary " +
+			"leads alone.",
+		Fields: []string{"group", "databases", "answered", "primary", "proved", "age"},
+	}
 )
 
 var stewardEvents = []Event{
 	RowSeen, RowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
-	DutyWritten, LeasesRevoked,
+	DutyWritten, LeasesRevoked, GroupSurveyed,
 }
