Send callers elsewhere when cut off; let beliefs about databases fade

Change: an instance that can't prove or reach a primary that others can refuses at once, is not ready after 400 ms and closes idle sessions after the platform's two questions; failing counts since the epoch is known; the estimate of a lag halves in 500 ms; a broken connection blocks nothing; a read is sent again after a third of its time; the primary is weighed four times for reads.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -30,6 +30,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
@@ -127,12 +128,16 @@
 type Table struct {
 	mu   sync.Mutex
 	view View
+	// learned is when each group's present epoch was first seen.
+	learned map[model.GroupID]time.Time
 	// changed is closed when the view changes, and replaced then.
 	changed chan struct{}
 }
 
 // NewTable returns a table without a view.
-func NewTable() *Table { return &Table{changed: make(chan struct{})} }
+func NewTable() *Table {
+	return &Table{learned: map[model.GroupID]time.Time{}, changed: make(chan struct{})}
+}
 
 // Learn takes in a view and reports whether it tells anything new.
 func (t *Table) Learn(view View) bool {
@@ -146,6 +151,11 @@
 		// holds for it as well.
 		view.Began = t.view.Began
 	}
+	for group, row := range view.Rows {
+		if known, found := t.view.Rows[group]; !found || known.Epoch != row.Epoch {
+			t.learned[group] = clock.Now()
+		}
+	}
 	t.view = view
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -167,6 +177,13 @@
 	return row, found
 }
 
+// Learned returns when a group's present epoch was first seen.
+func (t *Table) Learned(group model.GroupID) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.learned[group]
+}
+
 // Grant returns the primary that the newest view names, whether or not its
 // proof has run out: Judge decides once the answer is there.
 func (t *Table) Grant(group model.GroupID) (Grant, bool) {
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -23,9 +23,11 @@
 	// silentAfter is the time without any answer after which a database that
 	// owes one gets no new work. Statements of the slowest kind take less.
 	silentAfter = 500 * time.Millisecond
-	// lagFade is the part by which the estimate of a replica's lag falls with
-	// each answer that was fresh enough.
-	lagFade = 0.02
+	// lagShare is the part by which the estimate of a replica's lag falls with
+	// each answer that was fresh enough, and lagFade the time in which it halves
+	// without any, so that a replica that has caught up is tried again.
+	lagShare = 0.02
+	lagFade  = 500 * time.Millisecond
 )
 
 // Result is how a statement ended at a database.
@@ -57,8 +59,11 @@
 	EndingBusy
 	// EndingFull: it takes no further connection.
 	EndingFull
-	// EndingUnreachable: no connection could be opened, or one broke.
+	// EndingUnreachable: no connection could be opened.
 	EndingUnreachable
+	// EndingBroken: a connection broke before the answer. Whether the database
+	// is there, the next connection tells.
+	EndingBroken
 	// EndingUnused: nothing was sent.
 	EndingUnused
 )
@@ -76,6 +81,8 @@
 	// how long it takes a commit to get there.
 	applied model.Position
 	lag     time.Duration
+	// lagged is when the log was last found too short.
+	lagged time.Time
 	// owed is since when an answer has been outstanding without any other
 	// having come.
 	owed time.Time
@@ -104,10 +111,11 @@
 	case EndingAnswered:
 		b.answered(now)
 		b.measure(now, result.Elapsed)
-		b.lag -= time.Duration(float64(b.lag) * lagFade)
+		b.lag -= time.Duration(float64(b.lag) * lagShare)
 	case EndingBehind:
 		b.answered(now)
-		b.lag = max(b.lag, result.Behind) + time.Millisecond
+		b.lag = max(b.lagAt(now), result.Behind) + time.Millisecond
+		b.lagged = now
 	case EndingBusy:
 		b.answered(now)
 		b.measure(now, max(result.Elapsed, 2*b.latency))
@@ -117,6 +125,8 @@
 	case EndingUnreachable:
 		b.owed = time.Time{}
 		b.unreachable(now)
+	case EndingBroken:
+		b.owed = time.Time{}
 	case EndingNotPrimary:
 		b.answered(now)
 		if b.denied.IsZero() {
@@ -177,7 +187,7 @@
 		return b.pause()
 	case EndingFull:
 		return fullPause
-	case EndingAnswered, EndingWritten, EndingNotPrimary, EndingBehind, EndingBusy, EndingUnused:
+	case EndingAnswered, EndingWritten, EndingNotPrimary, EndingBehind, EndingBusy, EndingBroken, EndingUnused:
 	}
 	return 0
 }
@@ -215,5 +225,10 @@
 // hasLikely reports whether the log should have reached a position that was
 // written before since.
 func (b *belief) hasLikely(now time.Time, position model.Position, since time.Time) bool {
-	return !b.applied.Less(position) || now.Sub(since) >= b.lag
+	return !b.applied.Less(position) || now.Sub(since) >= b.lagAt(now)
+}
+
+// lagAt returns the estimate of the lag, by how long ago it was made.
+func (b *belief) lagAt(now time.Time) time.Duration {
+	return time.Duration(float64(b.lag) / (1 + float64(now.Sub(b.lagged))/float64(lagFade)))
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -16,12 +16,12 @@
 	// urgentAhead is the number of further ones for the most urgent rank.
 	urgentAhead = 1
 	// otherZone is added to the expected time of an answer from another
-	// availability zone: twice the way there and back, since the bytes between
-	// zones cost as well.
-	otherZone = 4 * time.Millisecond
+	// availability zone: half the time of a usual statement, since the bytes
+	// between zones cost as well.
+	otherZone = 12 * time.Millisecond
 	// primaryFactor weighs down the primary for reads that a replica can serve:
 	// its slots are the only ones for writes.
-	primaryFactor = 2
+	primaryFactor = 4
 	// connectionsKept is the number of connections of a database that are left
 	// to the control questions of all instances.
 	connectionsKept = 1
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -263,7 +263,10 @@
 		return FailingUnknown
 	}
 	now := clock.Now()
-	if failing := b.failing(now); failing > 0 || !b.heard.IsZero() {
+	// What happened before the database was known as the primary says nothing
+	// of it as the primary.
+	known := now.Sub(s.leases.Learned(name))
+	if failing := min(b.failing(now), known); failing > 0 || !b.heard.IsZero() {
 		return failing
 	}
 	return FailingUnknown
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -18,6 +18,9 @@
 	// waitShare is the part of a statement's time that it may wait for a seat;
 	// what is left is for running it.
 	waitShare = 0.8
+	// cutOffPatience is the longest wait for a seat while this instance is cut
+	// off and others are not: enough for a replica's seat.
+	cutOffPatience = 25 * time.Millisecond
 	// comeBack is the time after which a caller whose statement was refused for
 	// lack of room should come again: some dozen statements have ended by then.
 	comeBack = "retry after 250 ms"
@@ -55,6 +58,12 @@
 // enter gets a seat and a connection. Its failure says that nothing was sent.
 func (s *session) enter(a *asked, need placement.Need) (*visit, *statement.FailureError) {
 	patience := time.Duration(waitShare*float64(a.route.Timeout)) - clock.Since(a.arrived)
+	if s.server.options.Prover.IsCutOff(a.route.Group) {
+		if need.Primary {
+			return nil, &statement.FailureError{Code: statement.CodeBusy, Text: "this instance is cut off; " + comeBack}
+		}
+		patience = min(patience, cutOffPatience)
+	}
 	ctx, cancel := context.WithTimeout(s.server.ctx, patience)
 	defer cancel()
 	began := clock.Now()
@@ -149,7 +158,7 @@
 	result := placement.Result{Ending: placement.EndingAnswered, Elapsed: clock.Since(v.sent)}
 	switch {
 	case reply == nil:
-		result.Ending = placement.EndingUnreachable
+		result.Ending = placement.EndingBroken
 		var lost *backend.LostError
 		if errors.As(err, &lost) && lost.IsTimeout() {
 			// The database is silent or slow; the scheduler sees that by itself.
@@ -181,7 +190,11 @@
 // prove waits until it is known whether the database of a visit was the primary
 // when it answered.
 func (s *session) prove(a *asked, v *visit, reply *backend.Reply) lease.Verdict {
-	ctx, cancel := context.WithTimeout(s.server.ctx, a.remaining())
+	wait := a.remaining()
+	if _, reads := a.Statement.(statement.Read); reads && s.server.options.Prover.IsCutOff(a.route.Group) {
+		wait = min(wait, cutOffPatience)
+	}
+	ctx, cancel := context.WithTimeout(s.server.ctx, wait)
 	defer cancel()
 	verdict := s.server.options.Prover.Prove(ctx, v.seat.Grant, reply.At)
 	if verdict == lease.VerdictPrimary && !reply.Position.IsZero() {
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -48,6 +48,9 @@
 type Prover interface {
 	// Prove waits for the verdict until ctx ends.
 	Prove(ctx context.Context, grant lease.Grant, answered time.Time) lease.Verdict
+	// IsCutOff reports whether this instance can use a group's primary less than
+	// others can: a caller does better to come again, to another instance.
+	IsCutOff(group model.GroupID) bool
 	// Doubt says that a group's primary did not do what a primary does.
 	Doubt(group model.GroupID)
 }
@@ -78,8 +81,9 @@
 
 	mu       sync.Mutex
 	sessions map[*session]phase
-	// leaving says that idle sessions are closed.
-	leaving bool
+	// leaving says that idle sessions are closed, and shedding the same for as
+	// long as the instance is cut off.
+	leaving, shedding bool
 }
 
 // phase tells what a session is doing.
@@ -229,7 +233,7 @@
 func (s *Server) rest(ses *session, limit time.Duration, bounded bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving && ses.transaction == nil {
+	if (s.leaving || s.shedding) && ses.transaction == nil {
 		return false
 	}
 	deadline := time.Time{}
@@ -251,7 +255,7 @@
 	defer s.mu.Unlock()
 	resting := s.sessions[ses] == phaseResting
 	s.sessions[ses] = phaseServing
-	return s.leaving && resting
+	return (s.leaving || s.shedding) && resting
 }
 
 // Leave closes idle sessions, now and whenever one becomes idle.
@@ -259,6 +263,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
+	s.interruptResting()
+}
+
+// Shed closes idle sessions for as long as it is told to: their callers connect
+// again, to an instance that is ready.
+func (s *Server) Shed(shedding bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedding = shedding
+	if shedding {
+		s.interruptResting()
+	}
+}
+
+// interruptResting ends the waits of idle sessions. The server is locked.
+func (s *Server) interruptResting() {
 	for ses, phase := range s.sessions {
 		if phase == phaseResting {
 			_ = ses.conn.SetReadDeadline(time.Unix(1, 0))
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -13,9 +13,10 @@
 const (
 	// maxAttempts bounds the tries of one statement.
 	maxAttempts = 5
-	// firstShare is the part of a read's remaining time that one database gets
-	// before another is asked.
-	firstShare = 0.6
+	// firstShare is the part of a read's remaining time that the first database
+	// gets before another is asked: answers get lost, and the slowest statements
+	// take less.
+	firstShare = 0.35
 	// retryPause is the pause before a statement is sent again that the primary
 	// refused to run.
 	retryPause = 20 * time.Millisecond
@@ -59,7 +60,7 @@
 
 // mayRetry reports whether a statement that did not run may be sent again.
 func (s *session) mayRetry(a *asked) bool {
-	return a.attempts < maxAttempts && clock.Since(a.arrived) < time.Duration(waitShare*float64(a.route.Timeout))
+	return a.attempts < maxAttempts && !s.server.options.Prover.IsCutOff(a.route.Group) && clock.Since(a.arrived) < time.Duration(waitShare*float64(a.route.Timeout))
 }
 
 // asNotRun returns the failure for a statement that did not run: whatever the
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -25,8 +25,11 @@
 	// confirmWait bounds that look; a caller waits two seconds for an answer.
 	confirmWait = 1200 * time.Millisecond
 	// unprovenLimit is the time without a proof of the primaries after which
-	// the instance asks for no further callers.
-	unprovenLimit = 1500 * time.Millisecond
+	// the instance asks for no further callers, and shedLimit that after which
+	// it closes idle sessions: the platform has taken it out of its rotation by
+	// then.
+	unprovenLimit = 400 * time.Millisecond
+	shedLimit     = unprovenLimit + 2300*time.Millisecond
 )
 
 // directory holds the configuration and the databases in force.
@@ -377,7 +380,9 @@
 	}
 	known, databases := d.known, len(d.entries)
 	unproven := !proven && now.Sub(d.unprovenSince) > unprovenLimit
+	shed := !proven && now.Sub(d.unprovenSince) > shedLimit
 	d.mu.Unlock()
+	f.sessions.Shed(shed)
 	ready := known && databases > 0 && !unproven && !f.leaving.Load()
 	if f.ready.Swap(ready) != ready {
 		f.note(event.ReadinessChanged, event.F("ready", ready), event.F("configuration", f.Version()),
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -100,6 +100,8 @@
 	ready   atomic.Bool
 	running sync.WaitGroup
 	started time.Time
+	// sessions are shed while the instance is cut off.
+	sessions Sessions
 
 	samplesMu sync.Mutex
 	samples   map[model.GroupID]*fresh.Samples
@@ -116,15 +118,22 @@
 		directory:   newDirectory(),
 		renewal:     renewal{wanted: make(chan struct{}, 1)},
 		peers:       newPeers(),
-		surveys:     surveys{rounds: map[model.GroupID]*round{}},
+		surveys:     surveys{rounds: map[model.GroupID]*round{}, proved: map[model.GroupID]time.Time{}},
 		stewardship: stewardship{busy: map[model.GroupID]chan struct{}{}},
 		samples:     map[model.GroupID]*fresh.Samples{},
 	}
 }
 
+// Sessions are those of callers.
+type Sessions interface {
+	// Shed closes idle sessions for as long as it is told to.
+	Shed(shedding bool)
+}
+
 // Start runs the fleet until ctx ends, with links to its peers. The channel gets
 // its end.
-func (f *Fleet) Start(ctx context.Context, links Links) <-chan error {
+func (f *Fleet) Start(ctx context.Context, links Links, sessions Sessions) <-chan error {
+	f.sessions = sessions
 	f.started = clock.Now()
 	f.peers.links = links
 	f.setLinks()
@@ -185,6 +194,7 @@
 			return
 		case <-ticker.C:
 			f.probePrimaries(ctx)
+			f.surveyUnproven(ctx)
 			if f.hasFailed(failing) {
 				f.broadcast()
 			}
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -15,6 +15,9 @@
 	// probeAfter is the time without an answer after which a primary is asked
 	// for its standing.
 	probeAfter = time.Second
+	// cutOffAfter is the time without a proof, or without an answer of a primary
+	// that answers others, after which callers are sent elsewhere.
+	cutOffAfter = 300 * time.Millisecond
 	// storeWait is how long a verdict waits for the store or a peer before the
 	// databases themselves are surveyed: several times what a renewal takes.
 	storeWait = 60 * time.Millisecond
@@ -50,9 +53,61 @@
 	}
 }
 
-// isProven reports whether primaries can be proven now, by a view or by surveys.
+// isProven reports whether a primary can be proven now, by a view or by surveys.
 func (f *Fleet) isProven(now time.Time) bool {
-	return f.Leases.IsProven(now) || f.surveys.isRecent(now)
+	if f.Leases.IsProven(now) {
+		return true
+	}
+	for name := range f.Leases.View().Rows {
+		if f.surveys.isRecent(now, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsCutOff implements session.Prover: this instance can't prove the primary, or
+// does not reach it while a peer does.
+func (f *Fleet) IsCutOff(name model.GroupID) bool {
+	now := clock.Now()
+	if !f.Leases.IsProven(now) && !f.surveys.isRecent(now, name) {
+		return clock.Since(f.Leases.View().Began) > lease.Length+cutOffAfter
+	}
+	if f.Scheduler.Failing(name) < cutOffAfter {
+		return false
+	}
+	epoch := f.Leases.View().Rows[name].Epoch
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	for _, p := range f.peers.known {
+		if !p.isAlive(now) || p.bulletin.Leaving {
+			continue
+		}
+		for _, note := range p.bulletin.Groups {
+			if note.Group == name && note.Row.Epoch == epoch && note.Failing == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// surveyUnproven surveys all groups while no view proves their primaries.
+func (f *Fleet) surveyUnproven(ctx context.Context) {
+	now := clock.Now()
+	if f.Leases.IsProven(now) {
+		return
+	}
+	for name := range f.Leases.View().Rows {
+		if f.surveys.isRecent(now, name) {
+			continue
+		}
+		f.running.Add(1)
+		go func() {
+			defer f.running.Done()
+			f.surveys.run(ctx, f, name)
+		}()
+	}
 }
 
 // probePrimaries asks the primaries that have given this instance no answer for
--- a/internal/node/fleet/survey.go
+++ b/internal/node/fleet/survey.go
@@ -20,7 +20,7 @@
 	surveyFor = 15 * time.Second
 	// surveyRecent is how long after a survey that proved a primary the
 	// instance counts as able to prove them.
-	surveyRecent = time.Second
+	surveyRecent = 600 * time.Millisecond
 )
 
 // surveys proves primaries while neither the store nor a peer can: where all
@@ -30,7 +30,8 @@
 type surveys struct {
 	mu     sync.Mutex
 	rounds map[model.GroupID]*round
-	proved time.Time
+	// proved is when a round last proved each group's primary.
+	proved map[model.GroupID]time.Time
 }
 
 // round is one question to all databases of a group, for all that wait.
@@ -81,16 +82,24 @@
 	defer s.mu.Unlock()
 	delete(s.rounds, name)
 	if r.proved {
-		s.proved = clock.Now()
+		s.proved[name] = clock.Now()
 	}
 	close(r.done)
 }
 
-// isRecent reports whether a survey has proved a primary lately.
-func (s *surveys) isRecent(now time.Time) bool {
+// isRecent reports whether a survey has proved a group's primary lately.
+func (s *surveys) isRecent(now time.Time, name model.GroupID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.proved) < surveyRecent
+	return now.Sub(s.proved[name]) < surveyRecent
+}
+
+// run runs a round unless one is running.
+func (s *surveys) run(ctx context.Context, f *Fleet, name model.GroupID) {
+	if r, mine := s.join(name); mine {
+		f.survey(ctx, name, r)
+		s.end(name, r)
+	}
 }
 
 // survey runs a round. It outlives the request that began it, since others wait
