--- /dev/null
+++ b/internal/core/fresh/fresh_test.go
@@ -0,0 +1,85 @@
+package fresh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+func at(milliseconds int) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func position(term, offset int) model.Position {
+	return model.Position{Term: model.Term(term), Offset: uint64(offset)}
+}
+
+func TestSince(t *testing.T) {
+	var samples Samples
+	for _, s := range []Sample{
+		{at(0), position(1, 10)},
+		{at(100), position(1, 20)},
+		{at(90), position(1, 19)},  // older than the newest one
+		{at(200), position(1, 15)}, // a database that holds less than is known
+		{at(300), position(2, 16)}, // a new term
+		{at(400), position(0, 0)},  // no position
+	} {
+		samples.Add(s.At, s.Position)
+	}
+	cases := []struct {
+		moment int
+		want   model.Position
+		found  bool
+	}{
+		{-5, position(1, 10), true},
+		{0, position(1, 10), true},
+		{1, position(1, 20), true},
+		{101, position(1, 20), true},
+		{201, position(2, 16), true},
+		{301, model.Position{}, false},
+	}
+	for _, c := range cases {
+		got, found := samples.Since(at(c.moment))
+		if diff := cmp.Diff([]any{c.want, c.found}, []any{got.Position, found}); diff != "" {
+			t.Errorf("since %d: %s", c.moment, diff)
+		}
+	}
+}
+
+// Whatever is added, a sample that is given out covers every position that was
+// added for an earlier time.
+func TestSinceCoversAllEarlierPositions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var samples Samples
+		var added []Sample
+		now, offset := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "n") {
+			now += rapid.IntRange(0, 100).Draw(t, "pause")
+			offset += rapid.IntRange(0, 3).Draw(t, "writes")
+			s := Sample{At: at(now), Position: position(1, offset)}
+			samples.Add(s.At, s.Position)
+			added = append(added, s)
+		}
+		moment := at(rapid.IntRange(0, now+1).Draw(t, "moment"))
+		got, found := samples.Since(moment)
+		for _, s := range added {
+			if found && s.At.Before(moment) && got.Position.Less(s.Position) {
+				t.Fatalf("%v was known before %v, and %v is given out", s, moment, got)
+			}
+		}
+	})
+}
+
+func TestOfferKeepsTheSpacing(t *testing.T) {
+	var samples Samples
+	samples.Offer(Sample{at(0), position(1, 1)})
+	samples.Offer(Sample{at(10), position(1, 2)})
+	newest, _ := samples.Newest()
+	if diff := cmp.Diff(position(1, 1), newest.Position); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/core/succession/succession_test.go
@@ -0,0 +1,66 @@
+package succession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+func TestJudge(t *testing.T) {
+	const long, short = SilentFor, SilentFor - time.Millisecond
+	cases := []struct {
+		name string
+		e    Evidence
+		want string
+	}{
+		{"well", Evidence{Known: true, Others: 2, Failing: []time.Duration{0, 0, 0}}, ""},
+		{"leaving", Evidence{Known: true, Leaving: true, Others: 1}, "the primary leaves"},
+		{"gone", Evidence{Others: 1}, "the primary is gone"},
+		{"nobody to take over", Evidence{Leaving: true}, ""},
+		{"silent for all", Evidence{Known: true, Others: 2, Failing: []time.Duration{long, long}}, "the primary does not answer a majority"},
+		{"silent for one of three", Evidence{Known: true, Others: 2, Failing: []time.Duration{long, 0, 0}}, ""},
+		{"silent for half", Evidence{Known: true, Others: 2, Failing: []time.Duration{long, long, 0, 0}}, ""},
+		{"not silent for long", Evidence{Known: true, Others: 2, Failing: []time.Duration{short, short, short}}, ""},
+		{"nobody knows", Evidence{Known: true, Others: 2}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reason, needed := Judge(c.e)
+			if diff := cmp.Diff([]any{c.want, c.want != ""}, []any{reason, needed}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestChoose(t *testing.T) {
+	p := func(term, offset int) model.Position {
+		return model.Position{Term: model.Term(term), Offset: uint64(offset)}
+	}
+	cases := []struct {
+		name         string
+		candidates   []Candidate
+		acknowledged model.Position
+		want         model.DatabaseID
+	}{
+		{"none", nil, model.Position{}, ""},
+		{"the longest log", []Candidate{{"a", p(1, 5), false}, {"b", p(1, 7), false}}, model.Position{}, "b"},
+		{"the newest term before the longest log", []Candidate{{"a", p(2, 5), false}, {"b", p(1, 7), false}}, model.Position{}, "a"},
+		{"one that stays before one that leaves", []Candidate{{"a", p(1, 9), true}, {"b", p(1, 7), false}}, model.Position{}, "b"},
+		{"one that leaves where no other is", []Candidate{{"a", p(1, 9), true}}, model.Position{}, "a"},
+		{"one that lacks an acknowledged commit is none", []Candidate{{"a", p(1, 5), false}}, p(1, 6), ""},
+		{"the one that leaves has all acknowledged commits", []Candidate{{"a", p(1, 5), false}, {"b", p(1, 6), true}}, p(1, 6), "b"},
+		{"born anew with an empty log", []Candidate{{"a", p(0, 0), false}, {"b", p(1, 1), false}}, model.Position{}, "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, found := Choose(c.candidates, c.acknowledged)
+			if diff := cmp.Diff([]any{c.want, c.want != ""}, []any{got, found}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -24,6 +24,9 @@
 const (
 	// greetTimeout bounds the wait for a caller's introduction.
 	greetTimeout = 10 * time.Second
+	// shedAfter is how long a session must have been idle to be shed: a caller
+	// that has just connected is about to ask.
+	shedAfter = 250 * time.Millisecond
 	// drainPause is the time between two looks whether any session is left.
 	drainPause = 20 * time.Millisecond
 	// acceptPause is the pause after a failure to accept a connection, such as
@@ -80,10 +83,9 @@
 	running sync.WaitGroup
 
 	mu       sync.Mutex
-	sessions map[*session]phase
-	// leaving says that idle sessions are closed, and shedding the same for as
-	// long as the instance is cut off.
-	leaving, shedding bool
+	sessions map[*session]*rest
+	// leaving says that idle sessions are closed.
+	leaving bool
 }
 
 // phase tells what a session is doing.
@@ -98,9 +100,17 @@
 	phaseOpen
 )
 
+// rest is what a session is doing, since when.
+type rest struct {
+	phase phase
+	since time.Time
+	// told says that the session was told to end.
+	told bool
+}
+
 // NewServer returns a server that does not listen yet.
 func NewServer(options Options) *Server {
-	return &Server{options: options, sessions: map[*session]phase{}}
+	return &Server{options: options, sessions: map[*session]*rest{}}
 }
 
 // Start listens until ctx ends. The channel gets the end of the server, after
@@ -233,7 +243,7 @@
 func (s *Server) rest(ses *session, limit time.Duration, bounded bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if (s.leaving || s.shedding) && ses.transaction == nil {
+	if s.leaving && ses.transaction == nil {
 		return false
 	}
 	deadline := time.Time{}
@@ -241,10 +251,11 @@
 		deadline = time.Now().Add(limit)
 	}
 	_ = ses.conn.SetReadDeadline(deadline)
-	s.sessions[ses] = phaseResting
+	now := &rest{phase: phaseResting, since: clock.Now()}
 	if ses.transaction != nil {
-		s.sessions[ses] = phaseOpen
+		now.phase = phaseOpen
 	}
+	s.sessions[ses] = now
 	return true
 }
 
@@ -253,9 +264,9 @@
 func (s *Server) wake(ses *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	resting := s.sessions[ses] == phaseResting
-	s.sessions[ses] = phaseServing
-	return (s.leaving || s.shedding) && resting
+	told := s.sessions[ses].told
+	s.sessions[ses] = &rest{phase: phaseServing}
+	return told
 }
 
 // Leave closes idle sessions, now and whenever one becomes idle.
@@ -263,24 +274,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
-	s.interruptResting()
+	s.endResting(0)
 }
 
-// Shed closes idle sessions for as long as it is told to: their callers connect
+// Shed closes the sessions that are idle for a moment: their callers connect
 // again, to an instance that is ready.
-func (s *Server) Shed(shedding bool) {
+func (s *Server) Shed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shedding = shedding
-	if shedding {
-		s.interruptResting()
-	}
+	s.endResting(shedAfter)
 }
 
-// interruptResting ends the waits of idle sessions. The server is locked.
-func (s *Server) interruptResting() {
-	for ses, phase := range s.sessions {
-		if phase == phaseResting {
+// endResting ends the sessions that have been idle for a time. The server is
+// locked.
+func (s *Server) endResting(after time.Duration) {
+	now := clock.Now()
+	for ses, r := range s.sessions {
+		if r.phase == phaseResting && now.Sub(r.since) >= after {
+			r.told = true
 			_ = ses.conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -382,7 +382,9 @@
 	unproven := !proven && now.Sub(d.unprovenSince) > unprovenLimit
 	shed := !proven && now.Sub(d.unprovenSince) > shedLimit
 	d.mu.Unlock()
-	f.sessions.Shed(shed)
+	if shed {
+		f.sessions.Shed()
+	}
 	ready := known && databases > 0 && !unproven && !f.leaving.Load()
 	if f.ready.Swap(ready) != ready {
 		f.note(event.ReadinessChanged, event.F("ready", ready), event.F("configuration", f.Version()),
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -126,8 +126,8 @@
 
 // Sessions are those of callers.
 type Sessions interface {
-	// Shed closes idle sessions for as long as it is told to.
-	Shed(shedding bool)
+	// Shed closes the sessions that are idle.
+	Shed()
 }
 
 // Start runs the fleet until ctx ends, with links to its peers. The channel gets
