Explain a request from the logs; serve metrics; never block on standard output

Cause: issue "Explain a failure afterwards": logs were written on the request's path, there were no histograms, and no way from a request's id to its cause. Change: lines go through a bounded buffer; latency histograms by route and outcome, and of the store's calls, stand beside the counters of expvar and are served as text; eelgrassfold explain tells the story of a request or of a group's changes.

--- a/internal/command/proxy/verbs.go
+++ b/internal/command/proxy/verbs.go
@@ -22,6 +22,7 @@
 	verbDrain,
 	verbHash,
 	verbEvents,
+	verbExplain,
 	verbVersion,
 	verbHelp,
 }
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/metrics"
 )
 
 const (
@@ -214,6 +215,7 @@
 
 // succeeded logs an answer that goes to the caller.
 func (s *session) succeeded(a *asked, v *visit, reply *backend.Reply, proof string) {
+	metrics.Observe("statements", a.route.Name+"/ok", clock.Since(a.arrived))
 	age := time.Duration(0)
 	if !v.seat.Since.IsZero() {
 		age = clock.Since(v.seat.Since)
@@ -228,6 +230,7 @@
 
 // refused logs a failure that goes to the caller, and returns the answer.
 func (s *session) refused(a *asked, seat placement.Seat, failure *statement.FailureError, state statement.State) statement.Answer {
+	metrics.Observe("statements", a.route.Name+"/"+failure.Code.String(), clock.Since(a.arrived))
 	s.server.note(event.StatementFailed,
 		event.F("request", a.ID), event.F("route", a.route.Name), event.F("statement", nameOf(a.Statement)),
 		event.F("code", failure.Code.String()), event.F("text", failure.Text),
--- /dev/null
+++ b/internal/report/log/buffer.go
@@ -0,0 +1,77 @@
+package log
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+)
+
+const (
+	// bufferLines is the number of lines that wait for a reader that is slow: a
+	// few seconds of them at the limits of the events.
+	bufferLines = 4096
+	// batchBytes is the size from which lines are written together.
+	batchBytes = 32 << 10
+)
+
+// Buffer writes lines behind the caller's back: a reader that stops reading costs
+// lines, and never blocks. NewBuffer makes one.
+type Buffer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	ended   chan struct{}
+}
+
+// NewBuffer returns a buffer that writes to out until it is closed.
+func NewBuffer(out io.Writer) *Buffer {
+	b := &Buffer{lines: make(chan []byte, bufferLines), ended: make(chan struct{})}
+	go b.run(out)
+	return b
+}
+
+// Write implements io.Writer. It takes whole lines, and drops one where the
+// buffer is full.
+func (b *Buffer) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes what is left, unless the reader has stopped, and ends the buffer.
+// Nothing may be written after it.
+func (b *Buffer) Close() <-chan struct{} {
+	close(b.lines)
+	return b.ended
+}
+
+func (b *Buffer) run(out io.Writer) {
+	defer close(b.ended)
+	for line := range b.lines {
+		batch := line
+		for len(batch) < batchBytes {
+			next, more := b.poll()
+			if !more {
+				break
+			}
+			batch = append(batch, next...)
+		}
+		if dropped := b.dropped.Swap(0); dropped > 0 {
+			batch = append(batch, `{"level":"WARN","msg":"lines-dropped","count":`+strconv.FormatInt(dropped, 10)+"}\n"...)
+		}
+		// Standard output that is closed leaves nobody to tell.
+		_, _ = out.Write(batch)
+	}
+}
+
+// poll returns a line that waits, and whether there was one.
+func (b *Buffer) poll() ([]byte, bool) {
+	select {
+	case line, open := <-b.lines:
+		return line, open
+	default:
+		return nil, false
+	}
+}
--- /dev/null
+++ b/internal/report/log/buffer_test.go
@@ -0,0 +1,55 @@
+package log
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (w *blockedWriter) Write(body []byte) (int, error) {
+	<-w.release
+	return w.out.Write(body)
+}
+
+// A reader that has stopped costs lines, and blocks nobody.
+func TestBufferNeverBlocks(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	b := NewBuffer(out)
+	const written = 3 * bufferLines
+	for range written {
+		if _, err := b.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.release)
+	<-b.Close()
+	lines := strings.Count(out.out.String(), "line\n")
+	if lines < bufferLines || lines >= written {
+		t.Errorf("%d of %d lines were written", lines, written)
+	}
+	if !strings.Contains(out.out.String(), `"lines-dropped"`) {
+		t.Error("nothing tells of the lines that were dropped")
+	}
+}
+
+func TestBufferKeepsOrder(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBuffer(&out)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		if _, err := b.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-b.Close()
+	if diff := cmp.Diff("a\nb\nc\n", out.String()); diff != "" {
+		t.Error(diff)
+	}
+}
