--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -64,6 +64,8 @@
 	linked   bool
 	heard    time.Time
 	bulletin message.Bulletin
+	// told is when the bulletin came.
+	told time.Time
 }
 
 // isAlive reports whether the instance was heard lately.
@@ -388,7 +390,7 @@
 	p := f.peers.get(from)
 	isNew := p.heard.IsZero()
 	p.heard = clock.Now()
-	p.bulletin = b
+	p.bulletin, p.told = b, p.heard
 	close(f.peers.news)
 	f.peers.news = make(chan struct{})
 	f.peers.mu.Unlock()
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -18,6 +18,8 @@
 	// cutOffAfter is the time without a proof, or without an answer of a primary
 	// that answers others, after which callers are sent elsewhere.
 	cutOffAfter = 300 * time.Millisecond
+	// peerKnowsAfter is the time after which a peer has asked the primary as well.
+	peerKnowsAfter = 200 * time.Millisecond
 	// storeWait is how long a verdict waits for the store or a peer before the
 	// databases themselves are surveyed: several times what a renewal takes.
 	storeWait = 60 * time.Millisecond
@@ -73,14 +75,17 @@
 	if !f.Leases.IsProven(now) && !f.surveys.isRecent(now, name) {
 		return clock.Since(f.Leases.View().Began) > lease.Length+cutOffAfter
 	}
-	if f.Scheduler.Failing(name) < cutOffAfter {
+	failing := f.Scheduler.Failing(name)
+	if failing < cutOffAfter {
 		return false
 	}
+	// A peer that was heard before it could know says nothing.
+	known := now.Add(peerKnowsAfter - failing)
 	epoch := f.Leases.View().Rows[name].Epoch
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
 	for _, p := range f.peers.known {
-		if !p.isAlive(now) || p.bulletin.Leaving {
+		if !p.isAlive(now) || p.bulletin.Leaving || p.told.Before(known) {
 			continue
 		}
 		for _, note := range p.bulletin.Groups {
--- a/internal/report/log/buffer.go
+++ b/internal/report/log/buffer.go
@@ -10,8 +10,9 @@
 	// bufferLines is the number of lines that wait for a reader that is slow: a
 	// few seconds of them at the limits of the events.
 	bufferLines = 4096
-	// batchBytes is the size from which lines are written together.
-	batchBytes = 32 << 10
+	// batchBytes bounds the lines that are written together: the system writes
+	// as much to a pipe in one piece.
+	batchBytes = 4 << 10
 )
 
 // Buffer writes lines behind the caller's back: a reader that stops reading costs
@@ -51,18 +52,27 @@
 	defer close(b.ended)
 	for line := range b.lines {
 		batch := line
-		for len(batch) < batchBytes {
+		for {
 			next, more := b.poll()
 			if !more {
 				break
 			}
+			if len(batch)+len(next) > batchBytes {
+				b.flush(out, batch)
+				batch = nil
+			}
 			batch = append(batch, next...)
 		}
-		if dropped := b.dropped.Swap(0); dropped > 0 {
-			batch = append(batch, `{"level":"WARN","msg":"lines-dropped","count":`+strconv.FormatInt(dropped, 10)+"}\n"...)
-		}
-		// Standard output that is closed leaves nobody to tell.
-		_, _ = out.Write(batch)
+		b.flush(out, batch)
+	}
+}
+
+// flush writes lines, and tells how many were dropped.
+func (b *Buffer) flush(out io.Writer, batch []byte) {
+	// Standard output that is closed leaves nobody to tell.
+	_, _ = out.Write(batch)
+	if dropped := b.dropped.Swap(0); dropped > 0 {
+		_, _ = out.Write([]byte(`{"level":"WARN","msg":"lines-dropped","count":` + strconv.FormatInt(dropped, 10) + "}\n"))
 	}
 }
 
