Part the fleet by what each file decides

Removed: a counter and a channel that nothing read, a field of a log line that was always zero. Connections opened are counted by group in expvar. No behaviour changed.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -222,13 +222,6 @@
 	}
 }
 
-// Changes returns a channel that is closed when the next view comes.
-func (t *Table) Changes() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.changed
-}
-
 // Await judges like Judge and waits for views while the verdict is pending,
 // until done is closed.
 func (t *Table) Await(grant Grant, answered time.Time, done <-chan struct{}) Verdict {
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -93,9 +93,9 @@
 	// took no further one.
 	fullAt   int
 	failures int
-	// heard is when it last answered, failing0 when the first of the failures
+	// heard is when it last answered, unreached when the first failure to reach it
 	// since then was, and denied since when it has refused what a primary does.
-	heard, failing0, denied time.Time
+	heard, unreached, denied time.Time
 }
 
 // sent notes that a statement goes to the database.
@@ -147,8 +147,8 @@
 // unreachable notes that a connection could not be opened or broke.
 func (b *belief) unreachable(now time.Time) {
 	b.failures++
-	if b.failing0.IsZero() {
-		b.failing0 = now
+	if b.unreached.IsZero() {
+		b.unreached = now
 	}
 	b.blocked = now.Add(b.pause())
 }
@@ -157,7 +157,7 @@
 // although it was asked to.
 func (b *belief) failing(now time.Time) time.Duration {
 	var longest time.Duration
-	for _, since := range []time.Time{b.failing0, b.denied} {
+	for _, since := range []time.Time{b.unreached, b.denied} {
 		if !since.IsZero() {
 			longest = max(longest, now.Sub(since))
 		}
@@ -172,7 +172,7 @@
 func (b *belief) answered(now time.Time) {
 	b.heard = now
 	b.failures = 0
-	b.failing0 = time.Time{}
+	b.unreached = time.Time{}
 	b.blocked = time.Time{}
 	b.owed = time.Time{}
 	if b.running > 0 {
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	preparedKept = 200
 )
 
+// opened counts the connections opened to the databases of each group.
+var opened = expvar.NewMap("backend.opened")
+
 // Protocol opens connections of databases that speak it.
 type Protocol interface {
 	// Open greets the database behind conn. Its error is a *statement.FailureError
@@ -73,8 +77,6 @@
 
 	mu   sync.Mutex
 	idle map[model.DatabaseID][]*Conn
-	// opened counts the connections that were opened.
-	opened int
 }
 
 // NewPool returns a pool without connections.
@@ -137,9 +139,7 @@
 		_ = dialed.Close()
 		return nil, &OpenError{Database: target.ID, Cause: err}
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
+	opened.Add(string(target.Group), 1)
 	return &Conn{target: target, net: dialed, wire: wire, prepared: map[string]string{}}, nil
 }
 
@@ -174,10 +174,3 @@
 		p.idle[id] = left
 	}
 }
-
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -102,7 +102,7 @@
 		f.broadcast()
 		f.note(event.ConfigurationAdopted,
 			event.F("version", decoded.Version), event.F("before", before), event.F("routes", len(decoded.Routes)),
-			event.F("source", from), event.F("age", "0s"))
+			event.F("source", from))
 	}
 }
 
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -9,14 +9,19 @@
 //
 // # How it is laid out
 //
-//	fleet.go      the parts and their common life
-//	watch.go      following a table of the store
-//	directory.go  the configuration and the databases in force
-//	leases.go     the table of groups: views, and the first rows
-//	prove.go      verdicts for sessions
-//	survey.go     proofs while neither the store nor a peer answers
-//	peers.go      the other instances: who is alive, what they know
-//	steward.go    changes of primary
+//	fleet.go           the parts and their common life
+//	watch.go           following a table of the store
+//	directory.go       the configuration and the databases in force
+//	leases.go          the table of groups: views, and the first rows
+//	prove.go           verdicts for sessions
+//	survey.go          proofs while neither the store nor a peer answers
+//	peers.go           the other instances: who is alive, who is first
+//	peers_member.go    who uses leases
+//	peers_bulletin.go  what instances tell each other
+//	steward.go         when a primary is changed
+//	steward_duty.go    by whom
+//	steward_change.go  how
+//	ask.go             questions to databases
 //
 // # Usage
 //
--- /dev/null
+++ b/internal/node/fleet/steward_change.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+)
+
+// change replaces the primary of a group.
+func (f *Fleet) change(ctx context.Context, name model.GroupID, row lease.Row, duty lease.Duty, reason string) {
+	began := clock.Now()
+	f.note(event.ChangeBegun, event.F("group", name), event.F("epoch", row.Epoch), event.F("primary", row.Primary),
+		event.F("reason", reason), event.F("failing", f.evidence(name, row).Failing))
+	claimed, ok := f.claim(ctx, name, row, duty, reason)
+	if !ok {
+		return
+	}
+	answers := f.inquirePrimary(ctx, name, row.Primary)
+	f.awaitRevoked(ctx, name, claimed.Version, duty.Holder == f.options.Instance)
+	old := f.stepDown(ctx, name, answers)
+	chosen, standing, ok := f.choose(ctx, name, claimed, old)
+	if !ok {
+		f.note(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
+		sleep(ctx, resumeAfter)
+		return
+	}
+	term, ok := f.promote(ctx, name, chosen, standing)
+	if !ok {
+		sleep(ctx, resumeAfter)
+		return
+	}
+	next := lease.Row{
+		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.ID, Term: term,
+		Steward: f.options.Instance, Reason: reason,
+	}
+	for ctx.Err() == nil && !f.finish(ctx, name, claimed, next) {
+		sleep(ctx, stewardPause)
+	}
+	f.note(event.ChangeEnded, event.F("group", name), event.F("epoch", next.Epoch), event.F("primary", chosen.ID),
+		event.F("before", row.Primary), event.F("term", term), event.F("received", standing.Received.String()),
+		event.F("took", clock.Since(began).String()))
+}
+
+// awaitRevoked waits until no instance uses the old primary and no earlier holder
+// of the duty acts: all views from before the claim have run out, or, where this
+// instance held the duty already, all members say that they have seen the claim.
+func (f *Fleet) awaitRevoked(ctx context.Context, name model.GroupID, version uint64, held bool) {
+	began := clock.Now()
+	for clock.Since(began) < lease.Length && ctx.Err() == nil {
+		changed := f.peers.awaitNews()
+		if held && f.areRevoked(version) {
+			break
+		}
+		left := time.NewTimer(lease.Length - clock.Since(began))
+		select {
+		case <-changed:
+		case <-left.C:
+		case <-ctx.Done():
+		}
+		left.Stop()
+	}
+	f.note(event.LeasesRevoked, event.F("group", name), event.F("waited", clock.Since(began).String()))
+}
+
+// areRevoked reports whether all members have seen a version of the table of
+// groups. The members are those of a read after it.
+func (f *Fleet) areRevoked(version uint64) bool {
+	if f.Leases.View().Version < version {
+		return false
+	}
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	if f.peers.membersVersion < version {
+		return false
+	}
+	seen := map[model.InstanceID]bool{}
+	for _, p := range f.peers.known {
+		if p.bulletin.View >= version {
+			seen[p.bulletin.Name] = true
+		}
+	}
+	for name := range f.peers.members {
+		if !seen[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// claim marks the group's row as changing and makes this instance the holder of
+// the duty, in one transaction. It returns the row as written.
+func (f *Fleet) claim(ctx context.Context, name model.GroupID, row lease.Row, duty lease.Duty, reason string) (lease.Row, bool) {
+	claimed := lease.Row{
+		Epoch: row.Epoch + 1, Phase: lease.PhaseChanging, Primary: row.Primary, Term: row.Term,
+		Steward: f.options.Instance, Reason: reason,
+	}
+	change := store.Change{
+		Expected: []store.Row{
+			{Table: groupTable, Key: groupKey(name), Version: row.Version},
+			{Table: groupTable, Key: dutyKey, Version: duty.Version},
+		},
+		Set: []store.Row{{Table: groupTable, Key: groupKey(name), Value: f.encode(&claimed)}},
+	}
+	if duty.Holder != f.options.Instance {
+		mine := lease.Duty{Holder: f.options.Instance, Name: f.options.Name, Token: duty.Token + 1}
+		change.Set = append(change.Set, store.Row{Table: groupTable, Key: dutyKey, Value: f.encode(&mine)})
+	}
+	version, err := f.write(ctx, change)
+	f.noteRow(name, claimed, err)
+	f.wantRenewal()
+	if err == nil {
+		claimed.Version = version
+		return claimed, true
+	}
+	// A claim of unknown outcome is found by the next look at the rows, which
+	// shows a change that is left unfinished.
+	sleep(ctx, resumeAfter)
+	return claimed, false
+}
+
+// finish writes the row of the new primary and the record of the change. It
+// reports true also where another instance has gone on with the change.
+func (f *Fleet) finish(ctx context.Context, name model.GroupID, claimed, next lease.Row) bool {
+	_, err := f.write(ctx, store.Change{
+		Expected: []store.Row{{Table: groupTable, Key: groupKey(name), Version: claimed.Version}},
+		Set: []store.Row{
+			{Table: groupTable, Key: groupKey(name), Value: f.encode(&next)},
+			{Table: logbookTable, Key: logbookKey(name, next.Epoch), Value: f.encode(&next)},
+		},
+	})
+	f.noteRow(name, next, err)
+	f.wantRenewal()
+	return err == nil || store.OutcomeOf(err) == store.OutcomeConflict
+}
+
+// inquirePrimary asks the old primary for its standing while the leases run out;
+// the channel gets its answer, if there is one.
+func (f *Fleet) inquirePrimary(ctx context.Context, name model.GroupID, id model.DatabaseID) <-chan standingOf {
+	answers := make(chan standingOf, 1)
+	for _, d := range f.databasesOf(name) {
+		if d.ID != id {
+			continue
+		}
+		go func() {
+			if standing, err := f.ask(ctx, d, statement.Inquire{}); err == nil {
+				answers <- standingOf{database: d, standing: standing}
+			}
+		}()
+	}
+	return answers
+}
+
+// stepDown tells the old primary to lead no more where it has answered, and
+// returns how far its log reaches.
+func (f *Fleet) stepDown(ctx context.Context, name model.GroupID, answers <-chan standingOf) model.Position {
+	wait := time.NewTimer(stepDownWait)
+	defer wait.Stop()
+	select {
+	case old := <-answers:
+		standing, err := f.ask(ctx, old.database, statement.StepDown{Term: old.standing.Term + 1})
+		f.note(event.PrimarySteppedDown, event.F("group", name), event.F("database", old.database.ID),
+			event.F("received", standing.Received.String()), event.F("outcome", outcome(err)))
+		return standing.Received
+	case <-wait.C:
+		return model.Position{}
+	}
+}
+
+// choose asks the other databases how far their logs reach and returns the one
+// to promote. It waits a little for one that has all that the old primary has.
+func (f *Fleet) choose(
+	ctx context.Context, name model.GroupID, row lease.Row, old model.Position,
+) (placement.Database, statement.Standing, bool) {
+	deadline := clock.Now().Add(catchUpLimit)
+	for {
+		standings := f.inquireAll(ctx, name, row.Primary)
+		var candidates []succession.Candidate
+		for _, s := range standings {
+			candidates = append(candidates, succession.Candidate{
+				ID: s.database.ID, Received: s.standing.Received, Leaving: s.database.Leaving,
+			})
+		}
+		id, found := succession.Choose(candidates, f.acknowledged(name))
+		i := slices.IndexFunc(standings, func(s standingOf) bool { return s.database.ID == id })
+		late := clock.Now().After(deadline) || ctx.Err() != nil
+		if found && (late || !standings[i].standing.Received.Less(old)) {
+			return standings[i].database, standings[i].standing, true
+		}
+		if late {
+			return placement.Database{}, statement.Standing{}, false
+		}
+		sleep(ctx, stewardPause)
+	}
+}
+
+// acknowledged returns the position that the log of a new primary must hold,
+// where the databases promise that a replica has every acknowledged commit.
+func (f *Fleet) acknowledged(name model.GroupID) model.Position {
+	f.directory.mu.Lock()
+	synchronous := f.directory.configuration.Groups[name].Synchronous
+	f.directory.mu.Unlock()
+	if !synchronous {
+		return model.Position{}
+	}
+	newest, _ := f.Of(name).Newest()
+	return newest.Position
+}
+
+// promote has the platform promote a database and waits until it leads. It
+// returns the term.
+func (f *Fleet) promote(ctx context.Context, name model.GroupID, chosen placement.Database, before statement.Standing) (model.Term, bool) {
+	deadline := clock.Now().Add(leadTimeout)
+	accepted := false
+	for clock.Now().Before(deadline) && ctx.Err() == nil {
+		if !accepted {
+			err := f.callPromote(ctx, name, chosen.ID)
+			f.note(event.PromotionCalled, event.F("group", name), event.F("database", chosen.ID), event.F("outcome", outcome(err)))
+			if err != nil && store.OutcomeOf(err) == store.OutcomeRefused {
+				return 0, false
+			}
+			accepted = err == nil
+		}
+		standing, err := f.ask(ctx, chosen, statement.Inquire{})
+		if err == nil && standing.Role == model.RolePrimary && standing.Term > before.Term {
+			return standing.Term, true
+		}
+		sleep(ctx, stewardPause)
+	}
+	f.note(event.ChangeFailed, event.F("group", name), event.F("why", "the promoted database does not lead"))
+	return 0, false
+}
+
+// callPromote makes the call under a view that proves the duty, and gives it up
+// before that view runs out.
+func (f *Fleet) callPromote(ctx context.Context, name model.GroupID, id model.DatabaseID) error {
+	if err := f.readGroups(ctx); err != nil {
+		return err
+	}
+	view := f.Leases.View()
+	if view.Duty.Holder != f.options.Instance {
+		return &store.Error{Outcome: store.OutcomeRefused, Cause: &DutyError{Holder: view.Duty.Holder}}
+	}
+	left := view.Began.Add(lease.Length).Sub(clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, min(left, promoteTimeout))
+	defer cancel()
+	return f.options.Promoter.Promote(ctx, store.Promotion{
+		Group: name, Database: id, Holder: view.Duty.Name, Token: view.Duty.Token,
+	})
+}
+
+func (f *Fleet) noteRow(name model.GroupID, row lease.Row, err error) {
+	f.note(event.RowWritten,
+		event.F("group", name), event.F("epoch", row.Epoch), event.F("phase", row.Phase.String()),
+		event.F("primary", row.Primary), event.F("term", row.Term), event.F("reason", row.Reason),
+		event.F("outcome", outcome(err)))
+}
--- /dev/null
+++ b/internal/node/fleet/steward_duty.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+)
+
+// isSteward reports whether changes of primary are this instance's to make: it
+// holds the duty, or the holder is not there and it is the first of those that
+// are. Without a majority that does not hear the holder, it is challenged first.
+func (f *Fleet) isSteward(ctx context.Context, duty lease.Duty) bool {
+	switch {
+	case duty.Holder == f.options.Instance:
+		return true
+	case !f.isFirst():
+		return false
+	case duty.Holder == "":
+		return true
+	case f.hears(duty.Holder) || f.peersHear(duty.Holder):
+		return false
+	case len(f.alive())+1 >= f.majority():
+		return true
+	default:
+		return f.hasChallenged(ctx, duty)
+	}
+}
+
+// hasChallenged reports whether this instance's challenge of the holder has stood
+// for long; it makes one where there is none.
+func (f *Fleet) hasChallenged(ctx context.Context, duty lease.Duty) bool {
+	s := &f.stewardship
+	if s.challenge == duty.Version {
+		return clock.Since(s.challenged) > challengeWait
+	}
+	duty.Challenger = f.options.Instance
+	if version, err := f.writeDuty(ctx, duty); err == nil {
+		s.challenge, s.challenged = version, clock.Now()
+	}
+	return false
+}
+
+// answerChallenge takes a challenge of this instance as the duty's holder away.
+func (f *Fleet) answerChallenge(ctx context.Context, duty lease.Duty) {
+	if duty.Holder != f.options.Instance || duty.Challenger == "" {
+		return
+	}
+	duty.Challenger = ""
+	// Where the write fails, the next view shows the challenge again.
+	_, _ = f.writeDuty(ctx, duty)
+}
+
+// writeDuty replaces the duty's row as it was seen.
+func (f *Fleet) writeDuty(ctx context.Context, duty lease.Duty) (uint64, error) {
+	version, err := f.write(ctx, store.Change{
+		Expected: []store.Row{{Table: groupTable, Key: dutyKey, Version: duty.Version}},
+		Set:      []store.Row{{Table: groupTable, Key: dutyKey, Value: f.encode(&duty)}},
+	})
+	f.note(event.DutyWritten, event.F("holder", duty.Holder), event.F("token", duty.Token),
+		event.F("challenger", duty.Challenger), event.F("outcome", outcome(err)))
+	f.wantRenewal()
+	return version, err
+}
+
+// peersHear reports whether a live peer has heard the holder of the duty.
+func (f *Fleet) peersHear(holder model.InstanceID) bool {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	now := clock.Now()
+	for _, p := range f.peers.known {
+		if p.isAlive(now) && p.bulletin.Duty.Holder == holder && p.bulletin.Holder {
+			return true
+		}
+	}
+	return false
+}
+
+// DutyError reports that another instance has taken the duty over.
+type DutyError struct{ Holder model.InstanceID }
+
+// Error implements error.
+func (e *DutyError) Error() string { return "the duty is held by " + string(e.Holder) }
