--- a/internal/report/eventlog/writer.go
+++ b/internal/report/eventlog/writer.go
@@ -59,7 +59,8 @@
 // Writer writes events. It may be used from many goroutines.
 type Writer struct {
 	handler slog.Handler
-	limit   int
+	// routine is the limit of events that do not warn, limit that of all others.
+	routine, limit int
 
 	mu      sync.Mutex
 	windows map[int]*lines
@@ -79,8 +80,15 @@
 
 // NewWriter returns a writer that lets each event have limit lines a second.
 func NewWriter(log logr.Logger, limit int) *Writer {
+	return NewSparingWriter(log, limit, limit)
+}
+
+// NewSparingWriter returns a writer that lets each routine event have other
+// lines a second than events that warn: what went wrong is left out last.
+func NewSparingWriter(log logr.Logger, routine, limit int) *Writer {
 	return &Writer{
 		handler: logr.ToSlogHandler(log),
+		routine: routine,
 		limit:   limit,
 		windows: map[int]*lines{},
 	}
@@ -93,7 +101,7 @@
 	entry := w.entry(now, e)
 	entry.count.Add(1)
 	w.roll(now, entry)
-	full := entry.written >= w.limit
+	full := entry.written >= w.limitOf(e)
 	if full {
 		entry.left++
 		w.left++
@@ -107,6 +115,14 @@
 	w.line(now, e, fields)
 }
 
+// limitOf returns the number of lines that an event may write in one second.
+func (w *Writer) limitOf(e event.Event) int {
+	if e.Level < event.LevelWarn {
+		return w.routine
+	}
+	return w.limit
+}
+
 // Flush tells, for each event whose second is over, how many of its lines were
 // left out.
 func (w *Writer) Flush(now time.Time) {
