Ask a silent primary on a new connection before it counts as silent

Change: a primary that owes an answer for 250 ms is asked on a new connection, and the idle ones to it are closed; its answer ends the silence. Red before: TestSilenceIsDoubtedFirst.

--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -23,6 +23,10 @@
 	// silentAfter is the time without any answer after which a database that
 	// owes one gets no new work. Statements of the slowest kind take less.
 	silentAfter = 500 * time.Millisecond
+	// doubtAfter is the time without an owed answer after which a primary is
+	// asked on a new connection: half of silentAfter, so that its answer is there
+	// before it counts as silent.
+	doubtAfter = 250 * time.Millisecond
 	// lagShare is the part by which the estimate of a replica's lag falls with
 	// each answer that was fresh enough, and lagFade the time in which it halves
 	// without any, so that a replica that has caught up is tried again.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -272,8 +272,9 @@
 	return FailingUnknown
 }
 
-// Unheard returns the primaries that have not answered for a while and have
-// nothing to answer, so that their silence tells nothing.
+// Unheard returns the primaries whose silence tells nothing: those that have not
+// answered for a while and have nothing to answer, and those that owe an answer,
+// which may be held up on an old connection only.
 func (s *Scheduler) Unheard(after time.Duration) []Database {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,7 +282,11 @@
 	var unheard []Database
 	for name := range s.groups {
 		primary, found := s.leases.Grant(name)
-		if b := s.byID[primary.Primary]; found && b != nil && b.running == 0 && now.Sub(b.heard) > after {
+		b := s.byID[primary.Primary]
+		if !found || b == nil {
+			continue
+		}
+		if b.running == 0 && now.Sub(b.heard) > after || !b.owed.IsZero() && now.Sub(b.owed) > doubtAfter {
 			unheard = append(unheard, b.Database)
 		}
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -245,3 +245,23 @@
 		t.Error("a database that can't be reached was not blocked")
 	}
 }
+
+// A primary that owes an answer is asked on a new connection before it counts as
+// silent, and one that answers there is not silent.
+func TestSilenceIsDoubtedFirst(t *testing.T) {
+	s, _ := newFixture(t)
+	need := Need{Group: ratings, Arrived: clock.Now(), Primary: true}
+	mustAcquire(t, s, need)
+	s.Observe("a", true)
+	if got := s.Unheard(time.Hour); len(got) != 0 {
+		t.Errorf("asked at once: %v", got)
+	}
+	s.byID["a"].owed = clock.Now().Add(-2 * silentAfter)
+	if got := s.Unheard(time.Hour); len(got) != 1 {
+		t.Errorf("a primary that owes an answer is not asked")
+	}
+	s.Observe("a", true)
+	if failing := s.Failing(ratings); failing != 0 || len(s.Unheard(time.Hour)) != 0 {
+		t.Errorf("it answered, and fails for %v", failing)
+	}
+}
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -151,6 +151,16 @@
 	p.idle[conn.target.ID] = append(p.idle[conn.target.ID], conn)
 }
 
+// Forget closes the idle connections to a database.
+func (p *Pool) Forget(id model.DatabaseID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle[id] {
+		go conn.Close()
+	}
+	delete(p.idle, id)
+}
+
 // Sweep closes connections that were not used for a while, and those of
 // databases that keep reports as gone.
 func (p *Pool) Sweep(keep func(model.DatabaseID) bool) {
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -94,10 +94,12 @@
 	Scheduler *placement.Scheduler
 	Pool      *backend.Pool
 
-	directory   directory
-	renewal     renewal
-	peers       peers
-	surveys     surveys
+	directory directory
+	renewal   renewal
+	peers     peers
+	surveys   surveys
+	// probing holds the primaries that are being asked.
+	probing     sync.Map
 	stewardship stewardship
 	leaving     atomic.Bool
 	// stored is when the store last answered, since boot.
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 )
 
@@ -119,15 +120,26 @@
 // a while, so that a failure is found without the help of callers.
 func (f *Fleet) probePrimaries(ctx context.Context) {
 	for _, d := range f.Scheduler.Unheard(probeAfter) {
+		if _, running := f.probing.LoadOrStore(d.ID, true); running {
+			continue
+		}
 		f.running.Add(1)
 		go func() {
 			defer f.running.Done()
-			_, err := f.ask(ctx, d, statement.Inquire{})
-			f.Scheduler.Observe(d.ID, err == nil || isAnswer(err))
+			defer f.probing.Delete(d.ID)
+			f.probe(ctx, d)
 		}()
 	}
 }
 
+// probe asks a primary on a new connection: the old ones may have gone silent by
+// themselves, as those do that a partition held up.
+func (f *Fleet) probe(ctx context.Context, d placement.Database) {
+	f.Pool.Forget(d.ID)
+	_, err := f.ask(ctx, d, statement.Inquire{})
+	f.Scheduler.Observe(d.ID, err == nil || isAnswer(err))
+}
+
 // isAnswer reports whether an error shows that the database answers.
 func isAnswer(err error) bool {
 	var failure *statement.FailureError
