Forget that a primary refused a write once it has carried one out

Cause, found in reading: placement.EndingWritten was never sent, so that the time since which a database refuses what a primary does was never cleared. A primary that had been deposed and promoted again, or that refused one write, counted as failing from then on. Ruled out: the bound by the epoch's age clears it (it only delays it).

--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -154,8 +154,9 @@
 	return nil, err
 }
 
-// finish tells the scheduler how a visit's statement ended.
-func (s *session) finish(v *visit, reply *backend.Reply, err error) {
+// finish tells the scheduler how a visit's statement ended; wrote says that only
+// a primary carries it out.
+func (s *session) finish(v *visit, wrote bool, reply *backend.Reply, err error) {
 	result := placement.Result{Ending: placement.EndingAnswered, Elapsed: clock.Since(v.sent)}
 	switch {
 	case reply == nil:
@@ -165,6 +166,8 @@
 			// The database is silent or slow; the scheduler sees that by itself.
 			result.Ending = placement.EndingUnused
 		}
+	case reply.Failure == nil && wrote:
+		result.Ending = placement.EndingWritten
 	case reply.Failure != nil:
 		result.Ending = endingOf(reply.Failure.Code, placement.EndingAnswered)
 		if reply.Failure.Code == statement.CodeBusy {
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -79,7 +79,7 @@
 		timeout = time.Duration(firstShare * float64(timeout))
 	}
 	reply, err := s.run(a, v, nil, timeout)
-	s.finish(v, reply, err)
+	s.finish(v, writes, reply, err)
 	if reply == nil {
 		s.leave(v, false)
 		return s.lost(a, v, writes, err)
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -63,7 +63,7 @@
 	s.server.options.Scheduler.Start(t.visit.seat)
 	t.wrote = t.wrote || writes
 	reply, err := s.run(a, t.visit, nil, a.remaining())
-	s.finish(t.visit, reply, err)
+	s.finish(t.visit, writes, reply, err)
 	return s.concludeInside(a, reply, err, false)
 }
 
@@ -92,7 +92,7 @@
 			t.visit = v
 			t.wrote = writes
 			reply, err := s.run(a, v, &begin, a.remaining())
-			s.finish(v, reply, err)
+			s.finish(v, writes, reply, err)
 			if reply == nil || reply.Failure == nil || !reply.Failure.Code.IsNotRun() {
 				return s.concludeInside(a, reply, err, true)
 			}
