Count a primary's silence from the end of a gap in the views

Change: how long a primary has been known counts anew after a gap in the views, so that what was not heard while cut off is no evidence.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -128,7 +128,8 @@
 type Table struct {
 	mu   sync.Mutex
 	view View
-	// learned is when each group's present epoch was first seen.
+	// learned is since when views have shown each group's present epoch without a
+	// gap between them.
 	learned map[model.GroupID]time.Time
 	// changed is closed when the view changes, and replaced then.
 	changed chan struct{}
@@ -151,9 +152,11 @@
 		// holds for it as well.
 		view.Began = t.view.Began
 	}
+	now := clock.Now()
+	wasCutOff := !now.Before(t.view.Began.Add(Length))
 	for group, row := range view.Rows {
-		if known, found := t.view.Rows[group]; !found || known.Epoch != row.Epoch {
-			t.learned[group] = clock.Now()
+		if known, found := t.view.Rows[group]; !found || known.Epoch != row.Epoch || wasCutOff {
+			t.learned[group] = now
 		}
 	}
 	t.view = view
@@ -177,7 +180,9 @@
 	return row, found
 }
 
-// Learned returns when a group's present epoch was first seen.
+// Learned returns since when views have shown a group's present epoch without a
+// gap between them: what an instance without views has not heard of a primary
+// tells nothing, since it was cut off itself.
 func (t *Table) Learned(group model.GroupID) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -263,8 +263,8 @@
 		return FailingUnknown
 	}
 	now := clock.Now()
-	// What happened before the database was known as the primary says nothing
-	// of it as the primary.
+	// What happened before the database was known as the primary, or while this
+	// instance was cut off, says nothing of it as the primary.
 	known := now.Sub(s.leases.Learned(name))
 	if failing := min(b.failing(now), known); failing > 0 || !b.heard.IsZero() {
 		return failing
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -228,6 +228,22 @@
 	}
 }
 
+// What an instance that was cut off has not heard meanwhile says nothing of the
+// primary: its silence counts from the first view after the gap.
+func TestFailingCountsFromTheEndOfAGap(t *testing.T) {
+	s, leases := newFixture(t)
+	s.Observe("a", true)
+	s.byID["a"].unreachable(clock.Now().Add(-time.Minute))
+	rows := leases.View().Rows
+	leases.Learn(lease.View{Version: 2, Began: clock.Now().Add(-time.Hour), Member: true, Rows: rows})
+	time.Sleep(lease.Length)
+	before := clock.Now()
+	leases.Learn(lease.View{Version: 3, Began: before, Member: true, Rows: rows})
+	if failing, limit := s.Failing(ratings), clock.Since(before); failing > limit {
+		t.Errorf("failing for %v, though the gap in the views ended %v ago", failing, limit)
+	}
+}
+
 // A connection that broke does not keep work from its database.
 func TestBrokenConnectionBlocksNothing(t *testing.T) {
 	s, _ := newFixture(t)
