Finish a change whose promotion had taken effect

Ruled out: refused calls (all were accepted), databases away (all answered).

Change: a database that alone leads in a term above the old primary's is taken without a call; after an accepted call one that still leads when the time of a promotion is over is taken in its term. Of equal logs the one that leads goes first. The old primary is told to step down only if it still leads.

Test red before: no end of the change inside 30 s.

--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -70,10 +70,12 @@
 	// Received is how far its log reaches.
 	Received model.Position
 	Leaving  bool
+	// Leads says that it has been promoted already.
+	Leads bool
 }
 
-// Choose returns the candidate with the longest log. Databases that leave are
-// taken only where no other is there. Acknowledged is a position that the log
+// Choose returns the candidate with the longest log; of equal ones that which
+// leads. Databases that leave are taken only where no other is there. Acknowledged is a position that the log
 // must hold, or zero.
 func Choose(candidates []Candidate, acknowledged model.Position) (model.DatabaseID, bool) {
 	var best *Candidate
@@ -83,7 +85,8 @@
 		case c.Received.Less(acknowledged):
 		case best == nil,
 			best.Leaving && !c.Leaving,
-			best.Leaving == c.Leaving && best.Received.Less(c.Received):
+			best.Leaving == c.Leaving && best.Received.Less(c.Received),
+			best.Leaving == c.Leaving && best.Received == c.Received && c.Leads:
 			best = c
 		}
 	}
--- a/internal/core/succession/succession_test.go
+++ b/internal/core/succession/succession_test.go
@@ -47,13 +47,14 @@
 		want         model.DatabaseID
 	}{
 		{"none", nil, model.Position{}, ""},
-		{"the longest log", []Candidate{{"a", p(1, 5), false}, {"b", p(1, 7), false}}, model.Position{}, "b"},
-		{"the newest term before the longest log", []Candidate{{"a", p(2, 5), false}, {"b", p(1, 7), false}}, model.Position{}, "a"},
-		{"one that stays before one that leaves", []Candidate{{"a", p(1, 9), true}, {"b", p(1, 7), false}}, model.Position{}, "b"},
-		{"one that leaves where no other is", []Candidate{{"a", p(1, 9), true}}, model.Position{}, "a"},
-		{"one that lacks an acknowledged commit is none", []Candidate{{"a", p(1, 5), false}}, p(1, 6), ""},
-		{"the one that leaves has all acknowledged commits", []Candidate{{"a", p(1, 5), false}, {"b", p(1, 6), true}}, p(1, 6), "b"},
-		{"born anew with an empty log", []Candidate{{"a", p(0, 0), false}, {"b", p(1, 1), false}}, model.Position{}, "b"},
+		{"the longest log", []Candidate{{ID: "a", Received: p(1, 5), Leaving: false}, {ID: "b", Received: p(1, 7), Leaving: false}}, model.Position{}, "b"},
+		{"the newest term before the longest log", []Candidate{{ID: "a", Received: p(2, 5), Leaving: false}, {ID: "b", Received: p(1, 7), Leaving: false}}, model.Position{}, "a"},
+		{"one that stays before one that leaves", []Candidate{{ID: "a", Received: p(1, 9), Leaving: true}, {ID: "b", Received: p(1, 7), Leaving: false}}, model.Position{}, "b"},
+		{"one that leaves where no other is", []Candidate{{ID: "a", Received: p(1, 9), Leaving: true}}, model.Position{}, "a"},
+		{"one that lacks an acknowledged commit is none", []Candidate{{ID: "a", Received: p(1, 5), Leaving: false}}, p(1, 6), ""},
+		{"the one that leaves has all acknowledged commits", []Candidate{{ID: "a", Received: p(1, 5), Leaving: false}, {ID: "b", Received: p(1, 6), Leaving: true}}, p(1, 6), "b"},
+		{"of equal logs the one that leads", []Candidate{{ID: "a", Received: p(1, 7)}, {ID: "b", Received: p(1, 7), Leads: true}, {ID: "c", Received: p(1, 7)}}, model.Position{}, "b"},
+		{"born anew with an empty log", []Candidate{{ID: "a", Received: p(0, 0), Leaving: false}, {ID: "b", Received: p(1, 1), Leaving: false}}, model.Position{}, "b"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/node/fleet/steward_change.go
+++ b/internal/node/fleet/steward_change.go
@@ -8,7 +8,6 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
-	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
@@ -27,26 +26,29 @@
 	answers := f.inquirePrimary(ctx, name, row.Primary)
 	f.awaitRevoked(ctx, name, claimed.Version, duty.Holder == f.options.Instance)
 	old := f.stepDown(ctx, name, answers)
-	chosen, standing, ok := f.choose(ctx, name, claimed, old)
+	chosen, ok := f.choose(ctx, name, claimed, old)
 	if !ok {
 		f.note(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
 		sleep(ctx, resumeAfter)
 		return
 	}
-	term, ok := f.promote(ctx, name, chosen, standing)
+	term := chosen.standing.Term
+	if !chosen.leads {
+		term, ok = f.promote(ctx, name, chosen.standingOf)
+	}
 	if !ok {
 		sleep(ctx, resumeAfter)
 		return
 	}
 	next := lease.Row{
-		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.ID, Term: term,
+		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.database.ID, Term: term,
 		Steward: f.options.Instance, Reason: reason,
 	}
 	for ctx.Err() == nil && !f.finish(ctx, name, claimed, next) {
 		sleep(ctx, stewardPause)
 	}
-	f.note(event.ChangeEnded, event.F("group", name), event.F("epoch", next.Epoch), event.F("primary", chosen.ID),
-		event.F("before", row.Primary), event.F("term", term), event.F("received", standing.Received.String()),
+	f.note(event.ChangeEnded, event.F("group", name), event.F("epoch", next.Epoch), event.F("primary", chosen.database.ID),
+		event.F("before", row.Primary), event.F("term", term), event.F("received", chosen.standing.Received.String()),
 		event.F("took", clock.Since(began).String()))
 }
 
@@ -159,13 +161,16 @@
 	return answers
 }
 
-// stepDown tells the old primary to lead no more where it has answered, and
-// returns how far its log reaches.
+// stepDown tells the old primary to lead no more where it answers and still
+// leads, and returns how far its log reaches.
 func (f *Fleet) stepDown(ctx context.Context, name model.GroupID, answers <-chan standingOf) model.Position {
 	wait := time.NewTimer(stepDownWait)
 	defer wait.Stop()
 	select {
 	case old := <-answers:
+		if old.standing.Role != model.RolePrimary {
+			return old.standing.Received
+		}
 		standing, err := f.ask(ctx, old.database, statement.StepDown{Term: old.standing.Term + 1})
 		f.note(event.PrimarySteppedDown, event.F("group", name), event.F("database", old.database.ID),
 			event.F("received", standing.Received.String()), event.F("outcome", outcome(err)))
@@ -175,33 +180,53 @@
 	}
 }
 
+// successor is the database that takes over.
+type successor struct {
+	standingOf
+	// leads says that an unfinished change has promoted it already.
+	leads bool
+}
+
 // choose asks the other databases how far their logs reach and returns the one
 // to promote. It waits a little for one that has all that the old primary has.
-func (f *Fleet) choose(
-	ctx context.Context, name model.GroupID, row lease.Row, old model.Position,
-) (placement.Database, statement.Standing, bool) {
+func (f *Fleet) choose(ctx context.Context, name model.GroupID, row lease.Row, old model.Position) (successor, bool) {
 	deadline := clock.Now().Add(catchUpLimit)
 	for {
 		standings := f.inquireAll(ctx, name, row.Primary)
+		leader, hasLeader := soleLeader(standings, f.countOthers(name, row.Primary))
 		var candidates []succession.Candidate
 		for _, s := range standings {
 			candidates = append(candidates, succession.Candidate{
 				ID: s.database.ID, Received: s.standing.Received, Leaving: s.database.Leaving,
+				Leads: s.standing.Role == model.RolePrimary,
 			})
 		}
 		id, found := succession.Choose(candidates, f.acknowledged(name))
 		i := slices.IndexFunc(standings, func(s standingOf) bool { return s.database.ID == id })
 		late := clock.Now().After(deadline) || ctx.Err() != nil
 		if found && (late || !standings[i].standing.Received.Less(old)) {
-			return standings[i].database, standings[i].standing, true
+			// A term above the old primary's comes from a promotion after it.
+			leads := hasLeader && leader == id && standings[i].standing.Term > row.Term
+			return successor{standingOf: standings[i], leads: leads}, true
 		}
 		if late {
-			return placement.Database{}, statement.Standing{}, false
+			return successor{}, false
 		}
 		sleep(ctx, stewardPause)
 	}
 }
 
+// countOthers returns the number of a group's databases but for one.
+func (f *Fleet) countOthers(name model.GroupID, but model.DatabaseID) int {
+	count := 0
+	for _, d := range f.databasesOf(name) {
+		if d.ID != but {
+			count++
+		}
+	}
+	return count
+}
+
 // acknowledged returns the position that the log of a new primary must hold,
 // where the databases promise that a replica has every acknowledged commit.
 func (f *Fleet) acknowledged(name model.GroupID) model.Position {
@@ -216,25 +241,33 @@
 }
 
 // promote has the platform promote a database and waits until it leads. It
-// returns the term.
-func (f *Fleet) promote(ctx context.Context, name model.GroupID, chosen placement.Database, before statement.Standing) (model.Term, bool) {
+// returns the term. The platform changes nothing where the database is the
+// primary already: then no newer term comes in the time that a promotion takes.
+func (f *Fleet) promote(ctx context.Context, name model.GroupID, chosen standingOf) (model.Term, bool) {
 	deadline := clock.Now().Add(leadTimeout)
 	accepted := false
+	var last statement.Standing
 	for clock.Now().Before(deadline) && ctx.Err() == nil {
 		if !accepted {
-			err := f.callPromote(ctx, name, chosen.ID)
-			f.note(event.PromotionCalled, event.F("group", name), event.F("database", chosen.ID), event.F("outcome", outcome(err)))
+			err := f.callPromote(ctx, name, chosen.database.ID)
+			f.note(event.PromotionCalled, event.F("group", name), event.F("database", chosen.database.ID), event.F("outcome", outcome(err)))
 			if err != nil && store.OutcomeOf(err) == store.OutcomeRefused {
 				return 0, false
 			}
-			accepted = err == nil
+			if accepted = err == nil; accepted {
+				deadline = clock.Now().Add(leadTimeout)
+			}
 		}
-		standing, err := f.ask(ctx, chosen, statement.Inquire{})
-		if err == nil && standing.Role == model.RolePrimary && standing.Term > before.Term {
+		standing, err := f.ask(ctx, chosen.database, statement.Inquire{})
+		if err == nil && standing.Role == model.RolePrimary && standing.Term > chosen.standing.Term {
 			return standing.Term, true
 		}
+		last = standing
 		sleep(ctx, stewardPause)
 	}
+	if accepted && ctx.Err() == nil && last.Role == model.RolePrimary {
+		return last.Term, true
+	}
 	f.note(event.ChangeFailed, event.F("group", name), event.F("why", "the promoted database does not lead"))
 	return 0, false
 }
