Ask one peer for a change, and compress what is sent

Its link of 10 Mbit/s was full: every instance that adopted a version told all, and whoever had not adopted it yet asked each of them, 15 KB an answer, with the square of the instances.

Ruled out: the store (other instances' calls were answered), the watch itself (the configuration was adopted in 15 ms).

Change: one peer at a time is asked for a version, the next after 400 ms; messages above 1 KiB are compressed on the links between instances.

--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"compress/flate"
+	"io"
 	"reflect"
 
 	"github.com/pkg/errors"
@@ -14,8 +16,16 @@
 // -----------------------------------------------------------------------------
 // Messages on the wire.
 
-// keepalive is the number of a frame without a message.
-const keepalive = 0
+const (
+	// keepalive is the number of a frame without a message.
+	keepalive = 0
+	// packed is the number of a frame with a compressed message, its number
+	// included.
+	packed = 12
+	// packAbove is the size in bytes above which a message is compressed: what
+	// peers repeat to many, such as configurations, is larger.
+	packAbove = 1 << 10
+)
 
 // kind is one message in the table.
 type kind struct {
@@ -75,12 +85,52 @@
 	if err := encoder.Encode(m); err != nil {
 		return nil, &DecodeError{Name: k.name, Cause: errors.WithStack(err)}
 	}
+	if out.Len() <= packAbove {
+		return out.Bytes(), nil
+	}
+	return pack(out.Bytes())
+}
+
+// pack compresses a message with its number.
+func pack(content []byte) ([]byte, error) {
+	var out bytes.Buffer
+	out.WriteByte(packed)
+	writer, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if _, err := writer.Write(content); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
 	return out.Bytes(), nil
 }
 
+// unpack reads what pack wrote. Its errors are *FrameSizeError, where there is
+// more than a frame holds, and *DecodeError.
+func unpack(body []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(body))
+	content, err := io.ReadAll(io.LimitReader(reader, maxFrame+1))
+	if err != nil {
+		return nil, &DecodeError{Name: "packed", Cause: errors.WithStack(err)}
+	}
+	if len(content) > maxFrame {
+		return nil, &FrameSizeError{Size: len(content), Limit: maxFrame}
+	}
+	return content, nil
+}
+
 // decodeMessage reads what encodeMessage wrote. It returns no message for a
 // keepalive. Its errors are *FrameSizeError, *NumberError and *DecodeError.
 func decodeMessage(content []byte) (message.PeerMessage, error) {
+	if len(content) > 0 && content[0] == packed {
+		var err error
+		if content, err = unpack(content[1:]); err != nil {
+			return nil, err
+		}
+	}
 	if len(content) == 0 {
 		return nil, &FrameSizeError{Size: 0, Limit: maxFrame}
 	}
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/hex"
 	"flag"
 	"fmt"
@@ -92,6 +93,42 @@
 	}
 }
 
+// A message above the bound for it is compressed, and one that would grow beyond
+// a frame is refused.
+func TestPackedMessages(t *testing.T) {
+	large := message.ManifestOffer{Number: 4, Body: bytes.Repeat([]byte("route lookups 1500 ms; "), 1000)}
+	content, err := encodeMessage(large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(content) > len(large.Body)/10 {
+		t.Errorf("%d bytes for a body of %d", len(content), len(large.Body))
+	}
+	decoded, err := decodeMessage(content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(message.PeerMessage(large), decoded); diff != "" {
+		t.Error(diff)
+	}
+	for name, body := range map[string][]byte{
+		"grows beyond a frame": make([]byte, maxFrame+1),
+		"is empty":             nil,
+		"is packed twice":      content,
+	} {
+		packedTwice, err := pack(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m, err := decodeMessage(packedTwice); err == nil {
+			t.Errorf("%s: got %v", name, m)
+		}
+	}
+	if m, err := decodeMessage([]byte{packed, 0xff, 0xff}); err == nil {
+		t.Errorf("no compressed message: got %v", m)
+	}
+}
+
 func TestRoundTrip(t *testing.T) {
 	address := rapid.Custom(func(t *rapid.T) netip.AddrPort {
 		size := rapid.SampledFrom([]int{4, 16}).Draw(t, "size")
--- a/internal/edge/peer/edge.go
+++ b/internal/edge/peer/edge.go
@@ -20,7 +20,8 @@
 //	frame of a proof    length (4) | HMAC-SHA256 (32)
 //	all others          length (4) | sequence (8) | number (1) | msgpack | code (16)
 //
-// The number of each message stands in one table, kinds. Number 0 is a
+// The number of each message stands in one table, kinds. Messages above 1 KiB
+// are compressed with their number, under a number for that. Number 0 is a
 // keepalive, sent each Options.Keepalive; a link on which nothing came for
 // Options.Silence is closed, since open connections can go silent for good.
 //
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -22,6 +22,9 @@
 	// confirmWait bounds the look at the store for a name without a route; a
 	// caller waits two seconds for an answer.
 	confirmWait = 1200 * time.Millisecond
+	// askAgain is the time without an answer after which another peer is asked:
+	// more than a large answer takes on a slow link.
+	askAgain = 400 * time.Millisecond
 	// unprovenLimit is the time without a proof of the primaries after which
 	// the instance asks for no further callers, and shedLimit that after which
 	// it closes idle sessions: the platform has taken it out of its rotation by
@@ -45,10 +48,28 @@
 	raw []byte
 	// listed is the store's version of the list of databases.
 	listed uint64
+	// askedConfiguration and askedDatabases are the last questions to peers.
+	askedConfiguration, askedDatabases question
 	// unprovenSince is since when the primaries have had no proof.
 	unprovenSince time.Time
 }
 
+// question is a question to a peer for a version of something.
+type question struct {
+	version uint64
+	at      time.Time
+}
+
+// isDue notes a question for a version and reports whether to ask it: one peer
+// at a time is asked for the same, since all that have it say so at once.
+func (q *question) isDue(version uint64, now time.Time) bool {
+	if version <= q.version && now.Sub(q.at) < askAgain {
+		return false
+	}
+	*q = question{version: version, at: now}
+	return true
+}
+
 // entry is a database's entry in the store.
 type entry struct {
 	placement.Database
@@ -294,6 +315,23 @@
 	f.directory.listed = max(f.directory.listed, offer.Version)
 }
 
+// askFor asks a peer for what it knows newer.
+func (f *Fleet) askFor(peer model.InstanceID, b message.Bulletin) {
+	now := clock.Now()
+	d := &f.directory
+	d.mu.Lock()
+	above, listed := d.configuration.Version, d.listed
+	wantsConfiguration := b.Configuration > above && d.askedConfiguration.isDue(b.Configuration, now)
+	wantsDatabases := b.Databases > listed && d.askedDatabases.isDue(b.Databases, now)
+	d.mu.Unlock()
+	if wantsConfiguration {
+		f.peers.links.Act(message.SendPeer{To: peer, Body: message.ManifestWanted{Above: above}})
+	}
+	if wantsDatabases {
+		f.peers.links.Act(message.SendPeer{To: peer, Body: message.DatabasesWanted{Above: listed}})
+	}
+}
+
 // rawConfiguration returns the configuration in force as the operator wrote it.
 func (f *Fleet) rawConfiguration() (uint64, []byte) {
 	f.directory.mu.Lock()
--- /dev/null
+++ b/internal/node/fleet/directory_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+)
+
+// A change that all peers tell at once is asked for once; an answer that does
+// not come is asked for again, and a newer change at once.
+func TestOnePeerIsAsked(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var q question
+	got := []bool{
+		q.isDue(5, now), q.isDue(5, now), q.isDue(4, now), q.isDue(6, now),
+		q.isDue(6, now.Add(askAgain-1)), q.isDue(6, now.Add(askAgain)),
+	}
+	if diff := cmp.Diff([]bool{true, false, false, true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A configuration goes to each instance about once, however many tell of it.
+func TestConfigurationIsSentOnce(t *testing.T) {
+	const instances = 8
+	w := newWorld(t, instances)
+	w.hub.reset()
+	w.hub.mu.Lock()
+	w.hub.offersTake = 20 * time.Millisecond
+	w.hub.mu.Unlock()
+	w.store.put("configurations", "current", "2")
+	for _, f := range w.fleets {
+		eventually(t, "version 2", func() bool { return f.Version() == 2 })
+	}
+	time.Sleep(bulletinInterval)
+	if offers := w.hub.count(message.ManifestOffer{}); offers > instances {
+		t.Errorf("%d offers of one configuration to %d instances", offers, instances)
+	}
+}
--- a/internal/node/fleet/peers_bulletin.go
+++ b/internal/node/fleet/peers_bulletin.go
@@ -140,12 +140,7 @@
 		f.hearView(from, echoed, b)
 		f.hearConfirmation(echoed, b)
 	}
-	if b.Configuration > f.Version() {
-		f.peers.links.Act(message.SendPeer{To: from, Body: message.ManifestWanted{Above: f.Version()}})
-	}
-	if above := f.databasesVersion(); b.Databases > above {
-		f.peers.links.Act(message.SendPeer{To: from, Body: message.DatabasesWanted{Above: above}})
-	}
+	f.askFor(from, b)
 	if isNew {
 		f.greet(from)
 		f.republish()
--- a/internal/node/fleet/watch_test.go
+++ b/internal/node/fleet/watch_test.go
@@ -64,10 +64,7 @@
 		eventually(t, "the database", func() bool { return f.isKnown("a") })
 	}
 	w.hub.setCut("i1", true)
-	w.store.mu.Lock()
-	delete(w.store.rows, "databases/a")
-	w.store.version++
-	w.store.mu.Unlock()
+	w.store.remove("databases", "a")
 	for _, f := range w.fleets[1:] {
 		eventually(t, "the database to be gone", func() bool { return !f.isKnown("a") })
 	}
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -61,6 +62,14 @@
 	s.changed = make(chan struct{})
 }
 
+// remove deletes a row; watches are told.
+func (s *memoryStore) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(store.Row{Table: table, Key: key, Removed: true})
+}
+
 // count returns the number of calls so far.
 func (s *memoryStore) count() int {
 	s.mu.Lock()
@@ -90,7 +99,8 @@
 	if err := s.begin(); err != nil {
 		return store.Rows{}, err
 	}
-	return store.Rows{Version: s.version, Rows: s.since(table, 0)}, nil
+	rows := slices.DeleteFunc(s.since(table, 0), func(row store.Row) bool { return row.Removed })
+	return store.Rows{Version: s.version, Rows: rows}, nil
 }
 
 // since returns the rows of a table that changed after a version.
@@ -152,7 +162,8 @@
 		s.set(row)
 	}
 	for _, row := range change.Delete {
-		delete(s.rows, row.Table+"/"+row.Key)
+		row.Removed = true
+		s.set(row)
 	}
 	return s.version, nil
 }
@@ -182,10 +193,28 @@
 type hub struct {
 	mu     sync.Mutex
 	fleets map[model.InstanceID]*Fleet
+	order  []model.InstanceID
+	// offersTake is the time of an answer with content to the first instance; to
+	// each further one it takes as much longer.
+	offersTake time.Duration
 	// cut holds the instances that hear nobody, and that nobody hears.
 	cut map[model.InstanceID]bool
-	// sent counts the messages that each instance has sent.
-	sent map[model.InstanceID]int
+	// sent counts the messages by their type.
+	sent map[reflect.Type]int
+}
+
+// reset forgets the messages sent so far.
+func (h *hub) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.sent)
+}
+
+// count returns how many messages of a type were sent.
+func (h *hub) count(like message.PeerMessage) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sent[reflect.TypeOf(like)]
 }
 
 // hubEnd is one instance's end of a hub.
@@ -203,10 +232,16 @@
 	e.hub.mu.Lock()
 	to, found := e.hub.fleets[send.To]
 	isCut := e.hub.cut[e.self] || e.hub.cut[send.To]
-	e.hub.sent[e.self]++
+	e.hub.sent[reflect.TypeOf(send.Body)]++
+	takes := e.hub.offersTake * time.Duration(slices.Index(e.hub.order, send.To))
 	e.hub.mu.Unlock()
 	if found && !isCut {
-		go to.Post(message.PeerHeard{From: e.self, Body: send.Body})
+		go func() {
+			if _, is := send.Body.(message.ManifestOffer); is {
+				time.Sleep(takes)
+			}
+			to.Post(message.PeerHeard{From: e.self, Body: send.Body})
+		}()
 	}
 	return true
 }
@@ -235,7 +270,7 @@
 	t.Helper()
 	w := &world{
 		store: newMemoryStore(),
-		hub:   &hub{fleets: map[model.InstanceID]*Fleet{}, cut: map[model.InstanceID]bool{}, sent: map[model.InstanceID]int{}},
+		hub:   &hub{fleets: map[model.InstanceID]*Fleet{}, cut: map[model.InstanceID]bool{}, sent: map[reflect.Type]int{}},
 	}
 	w.store.put("configurations", "current", "1")
 	w.store.put("databases", "a", "ratings")
@@ -252,6 +287,7 @@
 		f.Attach(hubEnd{hub: w.hub, self: name}, idleSessions{})
 		w.hub.mu.Lock()
 		w.hub.fleets[name] = f
+		w.hub.order = append(w.hub.order, name)
 		w.hub.mu.Unlock()
 		w.fleets = append(w.fleets, f)
 	}
