Use connections again that rested longer than their last deadline

A trace of the pool: 6,929 were closed as not open. The look at an idle connection goes through the runtime's poller, which refuses it once the deadline of the last exchange has passed.

Change: the deadline is taken off before the look.

TestRestedConnection red before.

--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -112,6 +112,10 @@
 // isOpen reports whether the other end has not closed the connection, as far
 // as this end knows: there is nothing to read from an idle connection.
 func (c *Conn) isOpen() bool {
+	// The deadline of the last exchange may have passed, and would end the look.
+	if c.net.SetDeadline(time.Time{}) != nil {
+		return false
+	}
 	raw, ok := c.net.(syscall.Conn)
 	if !ok {
 		return true
