Let a few instances ask idle primaries, on kept connections

Change: seven instances a group, by rendezvous hashing over the members, ask an idle primary, and first on a kept connection; whoever saw it fail, or is owed an answer, asks on a new one as before. An instance that has not heard a primary for 2.5 s and asked nothing does not count as a witness. The order of rendezvous hashing moved from the engine to model, and both use it. A test of the peer edge sends random bytes, since zeros are compressed now and never filled the connection.

--- a/internal/core/engine/steward_detect.go
+++ b/internal/core/engine/steward_detect.go
@@ -151,15 +151,11 @@
 // order of rendezvous hashing for the group. Places differ, so that instances
 // do not claim at once; safety does not depend on it.
 func (e *Engine) stewardOrder(g *group) int {
-	mine := weight(e.options.Instance, g.name)
-	order := 0
+	var live []model.InstanceID
 	for _, peer := range e.instances.sorted() {
-		if !peer.alive || peer.leaving {
-			continue
-		}
-		if w := weight(peer.id, g.name); w > mine || w == mine && peer.id < e.options.Instance {
-			order++
+		if peer.alive && !peer.leaving {
+			live = append(live, peer.id)
 		}
 	}
-	return order
+	return model.Place(e.options.Instance, live, g.name)
 }
--- a/internal/core/engine/system_member.go
+++ b/internal/core/engine/system_member.go
@@ -225,7 +225,7 @@
 func (e *Engine) linkTargets() []message.PeerTarget {
 	known := slices.Clone(e.instances.sorted())
 	sort.SliceStable(known, func(i, j int) bool {
-		return weight(known[i].id, e.options.Instance) > weight(known[j].id, e.options.Instance)
+		return model.Weight(known[i].id, e.options.Instance) > model.Weight(known[j].id, e.options.Instance)
 	})
 	var targets []message.PeerTarget
 	addresses := map[string]bool{e.options.Peer.String(): true}
--- a/internal/core/engine/table_instance.go
+++ b/internal/core/engine/table_instance.go
@@ -3,11 +3,8 @@
 import (
 	"net/netip"
 	"sort"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
@@ -90,9 +87,3 @@
 	}
 	return names
 }
-
-// weight orders instances for a name by rendezvous hashing: each name has its
-// own order, and an instance's failure moves only the names it was first for.
-func weight[N ~string](id model.InstanceID, name N) uint64 {
-	return xxhash.Sum64String(string(id) + "\x00" + strconv.Itoa(len(name)) + string(name))
-}
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -27,6 +27,9 @@
 	// asked on a new connection: half of silentAfter, so that its answer is there
 	// before it counts as silent.
 	doubtAfter = 250 * time.Millisecond
+	// heardFor is how long an answer tells that a primary is well, where it is
+	// asked nothing: more than the pause between two questions of a witness.
+	heardFor = 2500 * time.Millisecond
 	// lagShare is the part by which the estimate of a replica's lag falls with
 	// each answer that was fresh enough, and lagFade the time in which it halves
 	// without any, so that a replica that has caught up is tried again.
@@ -220,6 +223,12 @@
 	return time.Duration(float64(b.latency) / (1 + float64(age)/float64(latencyFade)))
 }
 
+// isDoubted reports whether the database owes an answer for so long that it shall
+// be asked on a new connection.
+func (b *belief) isDoubted(now time.Time) bool {
+	return !b.owed.IsZero() && now.Sub(b.owed) > doubtAfter
+}
+
 // isSilent reports whether the database owes an answer for so long that it gets
 // no new work.
 func (b *belief) isSilent(now time.Time) bool {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -249,7 +249,8 @@
 	return 0
 }
 
-// FailingUnknown is what Failing returns for a primary that was never heard.
+// FailingUnknown is what Failing returns for a primary that was not heard lately
+// and was asked nothing.
 const FailingUnknown = -time.Nanosecond
 
 // Failing returns for how long a group's primary has given no answer although it
@@ -266,16 +267,17 @@
 	// What happened before the database was known as the primary, or while this
 	// instance was cut off, says nothing of it as the primary.
 	known := now.Sub(s.leases.Learned(name))
-	if failing := min(b.failing(now), known); failing > 0 || !b.heard.IsZero() {
+	if failing := min(b.failing(now), known); failing > 0 || now.Sub(b.heard) < heardFor {
 		return failing
 	}
 	return FailingUnknown
 }
 
-// Unheard returns the primaries whose silence tells nothing: those that have not
-// answered for a while and have nothing to answer, and those that owe an answer,
-// which may be held up on an old connection only.
-func (s *Scheduler) Unheard(after time.Duration) []Database {
+// Unheard returns the primaries whose silence tells nothing: those that owe an
+// answer, which may be held up on an old connection only, those that failed
+// last, and, of the groups that this instance witnesses, those that have not
+// answered for a while and have nothing to answer.
+func (s *Scheduler) Unheard(after time.Duration, witnesses func(model.GroupID) bool) []Database {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -286,13 +288,22 @@
 		if !found || b == nil {
 			continue
 		}
-		if b.running == 0 && now.Sub(b.heard) > after || !b.owed.IsZero() && now.Sub(b.owed) > doubtAfter {
+		isIdle := b.running == 0 && now.Sub(b.heard) > after
+		if isIdle && (b.failing(now) > 0 || witnesses(name)) || b.isDoubted(now) {
 			unheard = append(unheard, b.Database)
 		}
 	}
 	return unheard
 }
 
+// IsDoubted reports whether a database owes an answer for long or failed last.
+func (s *Scheduler) IsDoubted(id model.DatabaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, now := s.byID[id], clock.Now()
+	return b != nil && (b.isDoubted(now) || b.failing(now) > 0)
+}
+
 // Observe notes that a database has answered a question of the control, or has
 // not.
 func (s *Scheduler) Observe(id model.DatabaseID, answered bool) {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -269,15 +269,43 @@
 	need := Need{Group: ratings, Arrived: clock.Now(), Primary: true}
 	mustAcquire(t, s, need)
 	s.Observe("a", true)
-	if got := s.Unheard(time.Hour); len(got) != 0 {
+	nobody := func(model.GroupID) bool { return false }
+	if got := s.Unheard(time.Hour, nobody); len(got) != 0 {
 		t.Errorf("asked at once: %v", got)
 	}
 	s.byID["a"].owed = clock.Now().Add(-2 * silentAfter)
-	if got := s.Unheard(time.Hour); len(got) != 1 {
+	if got := s.Unheard(time.Hour, nobody); len(got) != 1 {
 		t.Errorf("a primary that owes an answer is not asked")
 	}
 	s.Observe("a", true)
-	if failing := s.Failing(ratings); failing != 0 || len(s.Unheard(time.Hour)) != 0 {
+	if failing := s.Failing(ratings); failing != 0 || len(s.Unheard(time.Hour, nobody)) != 0 {
 		t.Errorf("it answered, and fails for %v", failing)
 	}
 }
+
+// Only a witness asks a primary for which it has no work, but whoever has seen it
+// fail asks on until it answers.
+func TestWitnessesAskAnIdlePrimary(t *testing.T) {
+	for name, c := range map[string]struct {
+		isWitness bool
+		learn     func(s *Scheduler)
+		asked     bool
+		failing   bool
+	}{
+		"a witness":                       {true, func(*Scheduler) {}, true, false},
+		"no witness":                      {false, func(*Scheduler) {}, false, false},
+		"no witness, and it failed":       {false, func(s *Scheduler) { s.Observe("a", false) }, true, true},
+		"no witness, and it came back":    {false, func(s *Scheduler) { s.Observe("a", false); s.Observe("a", true) }, false, false},
+		"a witness that has just asked":   {true, func(s *Scheduler) { s.Observe("a", true) }, false, false},
+		"heard too long ago to tell more": {false, func(s *Scheduler) { s.byID["a"].heard = clock.Now().Add(-heardFor) }, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newFixture(t)
+			c.learn(s)
+			asked := s.Unheard(time.Second, func(model.GroupID) bool { return c.isWitness })
+			if diff := cmp.Diff([]bool{c.asked, c.failing}, []bool{len(asked) > 0, s.Failing(ratings) > 0}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -340,7 +340,9 @@
 		{"takes nothing", func(o *Options) { o.Write = brief }, func(a instance, s *stranger) {
 			s.shake().send(s.seal([]byte{3, 0x80}))
 			<-a.events
+			// It can't be compressed, so that the connection fills.
 			body := make([]byte, maxFrame/2)
+			_, _ = rand.Read(body)
 			for range maxQueue {
 				a.Act(message.SendPeer{To: "z", Body: message.ManifestOffer{Body: body}})
 			}
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -64,6 +64,13 @@
 	f.wantRenewal()
 }
 
+// memberNames returns the names of the other members.
+func (f *Fleet) memberNames() []model.InstanceID {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	return slices.Collect(maps.Keys(f.peers.members))
+}
+
 // isMember reports whether the newest view lists this instance.
 func (f *Fleet) isMember() bool { return f.Leases.View().Member }
 
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -16,6 +16,10 @@
 	// probeAfter is the time without an answer after which a primary is asked
 	// for its standing.
 	probeAfter = time.Second
+	// witnesses is the number of instances that ask each primary although they
+	// have no work for it: enough for a majority of them to tell a failure while
+	// two availability zones or some instances are gone.
+	witnesses = 7
 	// cutOffAfter is the time without a proof, or without an answer of a primary
 	// that answers others, after which callers are sent elsewhere.
 	cutOffAfter = 300 * time.Millisecond
@@ -119,7 +123,7 @@
 // probePrimaries asks the primaries that have given this instance no answer for
 // a while, so that a failure is found without the help of callers.
 func (f *Fleet) probePrimaries(ctx context.Context) {
-	for _, d := range f.Scheduler.Unheard(probeAfter) {
+	for _, d := range f.Scheduler.Unheard(probeAfter, f.isWitness) {
 		if _, running := f.probing.LoadOrStore(d.ID, true); running {
 			continue
 		}
@@ -132,11 +136,25 @@
 	}
 }
 
-// probe asks a primary on a new connection: the old ones may have gone silent by
+// isWitness reports whether this instance asks a group's primary although it has
+// no work for it.
+func (f *Fleet) isWitness(name model.GroupID) bool {
+	return model.Place(f.options.Name, f.memberNames(), name) < witnesses
+}
+
+// probe asks a primary. Where it is in doubt, or does not answer on a connection
+// that was kept, it is asked on a new one: the old ones may have gone silent by
 // themselves, as those do that a partition held up.
 func (f *Fleet) probe(ctx context.Context, d placement.Database) {
-	f.Pool.Forget(d.ID)
-	_, err := f.ask(ctx, d, statement.Inquire{})
+	inDoubt := f.Scheduler.IsDoubted(d.ID)
+	var err error
+	if !inDoubt {
+		_, err = f.ask(ctx, d, statement.Inquire{})
+	}
+	if inDoubt || err != nil && !isAnswer(err) {
+		f.Pool.Forget(d.ID)
+		_, err = f.ask(ctx, d, statement.Inquire{})
+	}
 	f.Scheduler.Observe(d.ID, err == nil || isAnswer(err))
 }
 
