Link availability zones by a few heads each

Change: an instance keeps links to the first three instances of its own zone, in the order of names, and these to those of the other zones; one that is lost has the next one beside it. Of a zone its heads tell how many instances there are, how many know whether a primary answers and how many it does not answer, and the oldest view among its members with a sum of which members these are, so that a change of primary need not wait out the lease. Views come from the first instance of the own zone, which asks the first of all. Member rows tell the zone. An instance that read lately that it is listed goes on as a member, though a peer's list is older. In a zone of three all are heads, as on today's deployments.

--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -39,6 +39,13 @@
 	// ConfigurationAge and DatabasesAge are how long before Sent the sender's
 	// Configuration and Databases were known to be the newest.
 	ConfigurationAge, DatabasesAge time.Duration
+	// ZoneSize is the number of instances in the sender's availability zone, and
+	// FleetSize that in all of them, where the sender links the zones.
+	ZoneSize, FleetSize int
+	// Floor is the oldest View among the members of the sender's availability
+	// zone; zero where one of them was not heard. FloorOf tells which members
+	// these are, by their names.
+	Floor, FloorOf uint64
 }
 
 // GroupNote is what a Bulletin says of one group.
@@ -54,6 +61,10 @@
 	// acknowledged earlier than SampleAge before Sent; zero where there is none.
 	Sampled   model.Position
 	SampleAge time.Duration
+	// Witnesses is the number of instances in the sender's availability zone,
+	// itself included, that know whether the primary answers, and Silent that of
+	// those which it does not.
+	Witnesses, Silent int
 }
 
 // BulletinWanted asks a peer for a Bulletin that echoes Sent, to renew the
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -34,9 +34,10 @@
 	// Known says that the primary's entry exists, and Leaving that it says it
 	// leaves.
 	Known, Leaving bool
-	// Failing holds, for each instance that was heard and knows, for how long
-	// the primary has given it no answer.
-	Failing []time.Duration
+	// Witnesses is the number of instances that were heard and know whether the
+	// primary answers them, and Silent that of those which it has not answered
+	// for SilentFor.
+	Witnesses, Silent int
 	// Others is the number of the group's other databases that stay.
 	Others int
 }
@@ -52,13 +53,7 @@
 	if !e.Known {
 		return "the primary is gone", true
 	}
-	silent := 0
-	for _, failing := range e.Failing {
-		if failing >= SilentFor {
-			silent++
-		}
-	}
-	if 2*silent > len(e.Failing) {
+	if 2*e.Silent > e.Witnesses {
 		return "the primary does not answer a majority", true
 	}
 	return "", false
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -17,6 +17,7 @@
 //	survey.go          proofs while neither the store nor a peer answers
 //	peers.go           the other instances: who is alive, who is first
 //	peers_member.go    who uses leases
+//	peers_link.go      whom to keep a link to
 //	peers_bulletin.go  what instances tell each other
 //	steward.go         when a primary is changed
 //	steward_duty.go    by whom
@@ -189,6 +190,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			f.setLinks()
 			f.expireDatabases()
 			f.createRows(ctx)
 			f.forgetMembers(ctx)
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -26,11 +25,14 @@
 	memberPrefix = "member/"
 	dutyKey      = "duty/promotion"
 	// renewAge is the age of the view at which the first instance reads the table
-	// again: a third of a lease. The others ask the first at askAge, so that one
-	// call serves all, and read the table themselves at renewSpare, which leaves
-	// time for one more try.
+	// again: a third of a lease. The others ask for its view, so that one call
+	// serves all: the first of each availability zone at headAskAge, the rest ask
+	// that one at askAge, each askPause. They read the table themselves at
+	// renewSpare, which leaves time for one more try.
 	renewAge   = 300 * time.Millisecond
+	headAskAge = 350 * time.Millisecond
 	askAge     = 500 * time.Millisecond
+	askPause   = 100 * time.Millisecond
 	renewSpare = 680 * time.Millisecond
 	// renewTimeout bounds a read of the table.
 	renewTimeout = 600 * time.Millisecond
@@ -82,23 +84,10 @@
 func (f *Fleet) awaitRenewal(ctx context.Context) {
 	sleep(ctx, renewPause)
 	for ctx.Err() == nil {
-		first, isFirst := f.first()
-		age := clock.Since(f.Leases.View().Began)
-		left := membersAge - f.membersAge()
-		switch {
-		case isFirst:
-			left = min(left, renewAge-age)
-		case age < askAge:
-			left = min(left, askAge-age)
-		default:
-			left = min(left, renewSpare-age)
-		}
+		left := min(membersAge-f.membersAge(), f.untilRenewal())
 		if left <= 0 {
 			return
 		}
-		if !isFirst && age >= askAge {
-			f.peers.links.Act(message.SendPeer{To: first, Body: message.BulletinWanted{Sent: sinceBoot(clock.Now())}})
-		}
 		timer := time.NewTimer(left)
 		select {
 		case <-ctx.Done():
@@ -111,6 +100,49 @@
 	}
 }
 
+// untilRenewal returns the time until the table has to be read, or looked at
+// again. It asks the upstream for its view where that is due.
+func (f *Fleet) untilRenewal() time.Duration {
+	age := clock.Since(f.Leases.View().Began)
+	if f.isFirst() {
+		return renewAge - age
+	}
+	upstream := f.upstream()
+	due := askAge
+	if first, _ := f.first(); upstream == first {
+		due = headAskAge
+	}
+	if age < due {
+		return due - age
+	}
+	f.askForView(upstream)
+	return min(askPause, renewSpare-age)
+}
+
+// askForView asks a peer for its view, unless one was asked a moment ago.
+func (f *Fleet) askForView(peer model.InstanceID) {
+	now := clock.Now()
+	f.peers.mu.Lock()
+	isDue := now.Sub(f.peers.asked) >= askPause
+	if isDue {
+		f.peers.asked = now
+	}
+	f.peers.mu.Unlock()
+	if isDue {
+		f.peers.links.Act(message.SendPeer{To: peer, Body: message.BulletinWanted{Sent: sinceBoot(now)}})
+	}
+}
+
+// wantView asks for a newer view at once: the store, where this instance asks it
+// for all, or the upstream.
+func (f *Fleet) wantView() {
+	if f.isFirst() {
+		f.wantRenewal()
+		return
+	}
+	f.askForView(f.upstream())
+}
+
 // membersAge returns the age of what is known of the members.
 func (f *Fleet) membersAge() time.Duration {
 	f.peers.mu.Lock()
@@ -129,7 +161,7 @@
 		return err
 	}
 	view := lease.View{Version: rows.Version, Began: began, Rows: map[model.GroupID]lease.Row{}}
-	members := map[model.InstanceID]netip.AddrPort{}
+	members := map[model.InstanceID]member{}
 	for _, row := range rows.Rows {
 		f.takeRow(row, &view, members)
 	}
@@ -140,11 +172,11 @@
 }
 
 // takeRow takes one row of the table of groups into a view or among the members.
-func (f *Fleet) takeRow(row store.Row, view *lease.View, members map[model.InstanceID]netip.AddrPort) {
+func (f *Fleet) takeRow(row store.Row, view *lease.View, members map[model.InstanceID]member) {
 	if name, is := strings.CutPrefix(row.Key, memberPrefix); is {
-		var address netip.AddrPort
-		if f.decode(row, &address) {
-			members[model.InstanceID(name)] = address
+		var decoded member
+		if f.decode(row, &decoded) {
+			members[model.InstanceID(name)] = decoded
 		}
 		return
 	}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -44,15 +43,27 @@
 	mu    sync.Mutex
 	links Links
 	known map[model.InstanceID]*peer
-	// members holds the addresses of the other members, by name, as of a version
-	// of the table of groups.
-	members        map[model.InstanceID]netip.AddrPort
+	// members holds the other members, by name, as of a version of the table of
+	// groups; isListed says that this instance was among them.
+	members        map[model.InstanceID]member
 	membersVersion uint64
 	membersRead    time.Time
+	isListed       bool
+	// lost is when a link to an address was last lost or could not be made.
+	lost map[netip.AddrPort]time.Time
+	// asked is when a peer was last asked for a bulletin.
+	asked time.Time
 	// news is closed when a bulletin was heard, and replaced then.
 	news chan struct{}
 }
 
+// member is an instance's row among the members.
+type member struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
+	Address  netip.AddrPort
+	Zone     model.ZoneID
+}
+
 // peer is what is known of another instance.
 type peer struct {
 	linked   bool
@@ -69,35 +80,35 @@
 }
 
 func newPeers() peers {
-	return peers{known: map[model.InstanceID]*peer{}, news: make(chan struct{})}
-}
-
-// alive returns the instances that were heard lately, without this one, in the
-// order of their IDs.
-func (f *Fleet) alive() []model.InstanceID {
-	f.peers.mu.Lock()
-	defer f.peers.mu.Unlock()
-	now := clock.Now()
-	var ids []model.InstanceID
-	for id, p := range f.peers.known {
-		if p.isAlive(now) && !p.bulletin.Leaving {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
+	return peers{known: map[model.InstanceID]*peer{}, lost: map[netip.AddrPort]time.Time{}, news: make(chan struct{})}
 }
 
 // first returns the live instance whose ID comes before all others, of those
 // whose last call the store has answered where there are any, and whether that
 // is this one: it asks the store for all.
 func (f *Fleet) first() (model.InstanceID, bool) {
+	return f.firstOf(func(*peer) bool { return true })
+}
+
+// upstream returns the instance that this one asks for views: the first of its
+// availability zone, or the first of all where it is that itself.
+func (f *Fleet) upstream() model.InstanceID {
+	near, isNear := f.firstOf(func(p *peer) bool { return p.bulletin.Zone == f.options.Zone })
+	if !isNear {
+		return near
+	}
+	far, _ := f.first()
+	return far
+}
+
+// firstOf is first among this instance and some peers.
+func (f *Fleet) firstOf(counts func(*peer) bool) (model.InstanceID, bool) {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
 	now := clock.Now()
 	least, isStored := f.options.Instance, f.stored.Load()
 	for id, p := range f.peers.known {
-		if !p.isAlive(now) || p.bulletin.Leaving {
+		if !p.isAlive(now) || p.bulletin.Leaving || !counts(p) {
 			continue
 		}
 		if p.bulletin.Stored && !isStored || p.bulletin.Stored == isStored && id < least {
@@ -117,19 +128,55 @@
 func (f *Fleet) instances() int {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
-	now := clock.Now()
-	names := map[model.InstanceID]bool{f.options.Name: true}
+	_, fleet := f.peers.sizes(f.options, func(p *peer, now time.Time) bool { return now.Sub(p.heard) < rememberedFor })
 	for _, p := range f.peers.known {
-		if now.Sub(p.heard) < rememberedFor {
-			names[p.bulletin.Name] = true
+		if clock.Since(p.heard) < rememberedFor {
+			fleet = max(fleet, p.bulletin.FleetSize)
 		}
 	}
-	return max(len(names), min(len(f.peers.members)+1, f.options.Expected))
+	return max(fleet, min(len(f.peers.members)+1, f.options.Expected))
 }
 
-// majority returns how many instances, this one included, are more than half of
-// those that are known.
-func (f *Fleet) majority() int { return f.instances()/2 + 1 }
+// isMajority reports whether the instances that are alive, as far as they are
+// known here, are more than half of all.
+func (f *Fleet) isMajority() bool {
+	all := f.instances()
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	_, alive := f.peers.sizes(f.options, func(p *peer, now time.Time) bool {
+		return p.isAlive(now) && !p.bulletin.Leaving
+	})
+	return 2*alive > all
+}
+
+// sizes counts this instance and the peers that count: in its own availability
+// zone, and in all. Of another zone its peers there tell the number. The peers
+// are locked.
+func (p *peers) sizes(self Options, counts func(*peer, time.Time) bool) (zone, fleet int) {
+	now := clock.Now()
+	names := map[model.ZoneID]map[model.InstanceID]bool{self.Zone: {self.Name: true}}
+	told := map[model.ZoneID]int{}
+	for _, known := range p.known {
+		if !counts(known, now) {
+			continue
+		}
+		of := known.bulletin.Zone
+		if names[of] == nil {
+			names[of] = map[model.InstanceID]bool{}
+		}
+		names[of][known.bulletin.Name] = true
+		told[of] = max(told[of], known.bulletin.ZoneSize)
+	}
+	zone = len(names[self.Zone])
+	for of, heard := range names {
+		if of == self.Zone {
+			fleet += zone
+			continue
+		}
+		fleet += max(len(heard), told[of])
+	}
+	return zone, fleet
+}
 
 // hears reports whether an instance is this one or was heard lately.
 func (f *Fleet) hears(id model.InstanceID) bool {
@@ -155,6 +202,7 @@
 		if p, found := f.peers.known[incoming.Peer]; found {
 			p.linked = false
 		}
+		f.peers.lost[incoming.Address] = clock.Now()
 		f.peers.mu.Unlock()
 	case message.PeerHeard:
 		f.hear(incoming.From, incoming.Body)
--- a/internal/node/fleet/peers_bulletin.go
+++ b/internal/node/fleet/peers_bulletin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -10,6 +9,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 )
 
 // announce sends bulletins until ctx ends.
@@ -40,7 +40,7 @@
 
 // send addresses a bulletin to one peer.
 func (f *Fleet) send(
-	to model.InstanceID, b, last message.Bulletin, members map[model.InstanceID]netip.AddrPort, isRecent bool,
+	to model.InstanceID, b, last message.Bulletin, members map[model.InstanceID]member, isRecent bool,
 ) {
 	_, listed := members[last.Name]
 	b.Echo, b.Listed = last.Sent, listed && isRecent
@@ -76,10 +76,15 @@
 		ConfigurationAge: now.Sub(f.configurationConfirmed()), DatabasesAge: now.Sub(f.databasesConfirmed()),
 		View: view.Version, ViewAge: now.Sub(view.Began), Duty: view.Duty, Holder: f.hears(view.Duty.Holder),
 	}
+	b.Floor, b.FloorOf = f.floor(view.Version)
+	f.peers.mu.Lock()
+	b.ZoneSize, b.FleetSize = f.peers.sizes(f.options, func(p *peer, now time.Time) bool { return now.Sub(p.heard) < rememberedFor })
+	f.peers.mu.Unlock()
 	for name, row := range view.Rows {
 		// Who wrote the row and why is for the logs of those that read it.
 		row.Steward, row.Reason = "", ""
 		note := message.GroupNote{Group: name, Row: row, Failing: f.Scheduler.Failing(name)}
+		note.Witnesses, note.Silent = f.witnessed(name, row.Epoch, note.Failing)
 		if sample, found := f.Of(name).Newest(); found {
 			note.Sampled, note.SampleAge = sample.Position, now.Sub(sample.At)
 		}
@@ -88,6 +93,85 @@
 	return b
 }
 
+// witnessed counts, in this instance's availability zone, the instances that know
+// whether a group's primary of an epoch answers, and those which it does not.
+// What is known from a view that proves nothing does not count.
+func (f *Fleet) witnessed(name model.GroupID, epoch uint64, own time.Duration) (witnesses, silent int) {
+	count := func(failing time.Duration) {
+		if failing >= 0 {
+			witnesses++
+		}
+		if failing >= succession.SilentFor {
+			silent++
+		}
+	}
+	count(own)
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	now := clock.Now()
+	for _, p := range f.peers.known {
+		if p.bulletin.Zone != f.options.Zone || !p.isAlive(now) || p.bulletin.ViewAge >= lease.Length {
+			continue
+		}
+		if note, found := p.note(name, epoch); found {
+			count(note.Failing)
+		}
+	}
+	return witnesses, silent
+}
+
+// note returns what a peer said last of a group's primary of an epoch.
+func (p *peer) note(name model.GroupID, epoch uint64) (message.GroupNote, bool) {
+	for _, note := range p.bulletin.Groups {
+		if note.Group == name && note.Row.Epoch == epoch {
+			return note, true
+		}
+	}
+	return message.GroupNote{}, false
+}
+
+// floor returns the oldest view among the members of the own availability zone,
+// where this instance has view, and which members these are; zero where one of
+// them was not heard.
+func (f *Fleet) floor(view uint64) (oldest, of uint64) {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	seen := f.peers.seen()
+	oldest = view
+	for name, m := range f.peers.members {
+		if m.Zone == f.options.Zone {
+			oldest = min(oldest, seen[name])
+		}
+	}
+	return oldest, f.peers.membersOf(f.options, f.options.Zone)
+}
+
+// membersOf sums up which members there are in an availability zone: a peer's
+// floor says something of those only that the peer knows of. The peers are locked.
+func (p *peers) membersOf(self Options, zone model.ZoneID) uint64 {
+	sum := uint64(0)
+	if self.Zone == zone {
+		sum = model.Weight(self.Name, zone)
+	}
+	for name, m := range p.members {
+		if m.Zone == zone {
+			sum += model.Weight(name, zone)
+		}
+	}
+	return sum
+}
+
+// seen returns the newest view that each instance, by name, has said it has. The
+// peers are locked.
+func (p *peers) seen() map[model.InstanceID]uint64 {
+	seen := map[model.InstanceID]uint64{}
+	for _, known := range p.known {
+		name := known.bulletin.Name
+		seen[name] = max(seen[name], known.bulletin.View)
+	}
+	return seen
+}
+
 // sinceBoot gives a time of package clock a form that can be sent.
 func sinceBoot(t time.Time) time.Duration { return t.Sub(time.Unix(0, 0)) }
 
@@ -152,7 +236,7 @@
 func (f *Fleet) hearView(from model.InstanceID, echoed time.Time, b message.Bulletin) {
 	if b.View > 0 {
 		view := lease.View{
-			Version: b.View, Began: echoed.Add(-b.ViewAge), Duty: b.Duty, Member: b.Listed,
+			Version: b.View, Began: echoed.Add(-b.ViewAge), Duty: b.Duty, Member: b.Listed || f.isListedLately(),
 			Rows: make(map[model.GroupID]lease.Row, len(b.Groups)),
 		}
 		for _, note := range b.Groups {
--- /dev/null
+++ b/internal/node/fleet/peers_link_test.go
@@ -0,0 +1,202 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
+)
+
+// addressOf gives the n-th instance of a zone an address.
+func addressOf(zone, n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone), 0, byte(n)}), 7000)
+}
+
+// newMember returns a fleet that was not started: the n-th instance of zone 1, in
+// three zones of as many members.
+func newMember(n, perZone int) *Fleet {
+	name := model.InstanceID(fmt.Sprintf("z1-%d", n))
+	f := New(Options{
+		Instance: name, Name: name, Zone: "z1", Peer: addressOf(1, n), Expected: 7,
+		Store: newMemoryStore(), Source: testSource{}, Log: eventlog.NewWriter(logr.Discard(), eventlog.DefaultLimit),
+	})
+	members := map[model.InstanceID]member{}
+	for zone := 1; zone <= 3; zone++ {
+		for i := 1; i <= perZone; i++ {
+			members[model.InstanceID(fmt.Sprintf("z%d-%d", zone, i))] = member{
+				Address: addressOf(zone, i), Zone: model.ZoneID(fmt.Sprintf("z%d", zone)),
+			}
+		}
+	}
+	f.takeMembers(members, 10)
+	return f
+}
+
+// What an instance is linked to is bounded, whatever the number of instances.
+func TestLinksOfAnInstance(t *testing.T) {
+	all := func(zone, from, to int) []netip.AddrPort {
+		var addresses []netip.AddrPort
+		for i := from; i <= to; i++ {
+			addresses = append(addresses, addressOf(zone, i))
+		}
+		return addresses
+	}
+	for name, c := range map[string]struct {
+		n, perZone int
+		lost       []netip.AddrPort
+		want       []netip.AddrPort
+	}{
+		"all are heads of a small zone": {1, 2, nil, slices.Concat(all(1, 2, 2), all(2, 1, 2), all(3, 1, 2))},
+		"a head of a large zone":        {1, 9, nil, slices.Concat(all(1, 2, 3), all(2, 1, 3), all(3, 1, 3))},
+		"no head":                       {5, 9, nil, all(1, 1, 3)},
+		"no head, one of them is lost":  {5, 9, all(1, 2, 2), all(1, 1, 4)},
+		"in the place of one lost":      {4, 9, all(1, 2, 2), slices.Concat(all(1, 1, 3), all(2, 1, 3), all(3, 1, 3))},
+		"a head of another zone lost":   {1, 9, all(3, 1, 1), slices.Concat(all(1, 2, 3), all(2, 1, 3), all(3, 1, 4))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMember(c.n, c.perZone)
+			for _, address := range c.lost {
+				f.Post(message.PeerLost{Address: address})
+			}
+			got := f.linked()
+			slices.SortFunc(got, func(a, b netip.AddrPort) int { return a.Compare(b) })
+			if diff := cmp.Diff(fmt.Sprint(c.want), fmt.Sprint(got)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// tell lets a fleet hear a bulletin of another instance.
+func (f *Fleet) tell(name model.InstanceID, b message.Bulletin) {
+	b.Name, b.Zone = name, model.ZoneID(name[:2])
+	f.peers.get(name).linked = true
+	f.peers.get(name).heard = clock.Now()
+	f.peers.get(name).bulletin = b
+}
+
+// The members of another zone have seen a claim when their head says so, of the
+// same members that this instance knows.
+func TestRevocationThroughHeads(t *testing.T) {
+	const version = 20
+	for name, c := range map[string]struct {
+		floor   uint64
+		unknown bool
+		want    bool
+	}{
+		"all have seen it":                {version, false, true},
+		"one of them has an older view":   {version - 1, false, false},
+		"one of them was not heard":       {0, false, false},
+		"the head does not know them all": {version, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMember(1, 5)
+			f.Leases.Learn(lease.View{Version: version, Began: clock.Now(), Member: true})
+			members := f.peers.members
+			members["z1-1"] = member{Address: addressOf(1, 1), Zone: "z1"}
+			f.takeMembers(members, version)
+			for i := 2; i <= 5; i++ {
+				f.tell(model.InstanceID(fmt.Sprintf("z1-%d", i)), message.Bulletin{View: version})
+			}
+			for _, zone := range []model.ZoneID{"z2", "z3"} {
+				b := message.Bulletin{View: version, Floor: c.floor, FloorOf: f.peers.membersOf(f.options, zone)}
+				if c.unknown {
+					b.FloorOf++
+				}
+				f.tell(model.InstanceID(zone+"-1"), b)
+			}
+			if diff := cmp.Diff(c.want, f.areRevoked(version)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// The word of each zone counts once, with as many instances as stand behind it.
+func TestEvidenceOfAllZones(t *testing.T) {
+	row := lease.Row{Epoch: 4, Primary: "a"}
+	for name, c := range map[string]struct {
+		near, far   time.Duration
+		farCount    [2]int
+		farViewAge  time.Duration
+		needed      bool
+		otherEpochs bool
+	}{
+		"silent for the own zone only":        {succession.SilentFor, 0, [2]int{9, 0}, 0, false, false},
+		"silent for all":                      {succession.SilentFor, succession.SilentFor, [2]int{9, 9}, 0, true, false},
+		"the other zone can't use it":         {succession.SilentFor, 0, [2]int{9, 0}, lease.Length, true, false},
+		"the other zone speaks of an earlier": {succession.SilentFor, 0, [2]int{9, 0}, 0, true, true},
+		"well":                                {0, 0, [2]int{9, 0}, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMember(1, 3)
+			f.directory.entries["a"] = &entry{}
+			f.directory.entries["a"].Group, f.directory.entries["a"].ID = "ratings", "a"
+			f.directory.entries["b"] = &entry{}
+			f.directory.entries["b"].Group, f.directory.entries["b"].ID = "ratings", "b"
+			note := message.GroupNote{Group: "ratings", Row: row, Failing: c.near}
+			f.tell("z1-2", message.Bulletin{Groups: []message.GroupNote{note}})
+			f.tell("z1-3", message.Bulletin{Groups: []message.GroupNote{note}})
+			note.Failing, note.Witnesses, note.Silent = c.far, c.farCount[0], c.farCount[1]
+			if c.otherEpochs {
+				note.Row.Epoch--
+			}
+			f.tell("z2-1", message.Bulletin{Groups: []message.GroupNote{note}, ViewAge: c.farViewAge})
+			note.Witnesses, note.Silent = 1, 1
+			f.tell("z2-2", message.Bulletin{Groups: []message.GroupNote{note}, ViewAge: c.farViewAge})
+			if _, needed := succession.Judge(f.evidence("ratings", row)); needed != c.needed {
+				t.Errorf("a change is needed: %v, want %v (%+v)", needed, c.needed, f.evidence("ratings", row))
+			}
+		})
+	}
+}
+
+// An instance that hears its heads only knows the size of the fleet from them.
+func TestSizeOfTheFleet(t *testing.T) {
+	leaf, head := newMember(5, 9), newMember(1, 9)
+	for i := 2; i <= 9; i++ {
+		head.tell(model.InstanceID(fmt.Sprintf("z1-%d", i)), message.Bulletin{ZoneSize: 4})
+	}
+	head.tell("z2-1", message.Bulletin{ZoneSize: 8})
+	head.tell("z2-2", message.Bulletin{ZoneSize: 9})
+	head.tell("z3-1", message.Bulletin{ZoneSize: 7})
+	if diff := cmp.Diff(9+9+7, head.instances()); diff != "" {
+		t.Errorf("head: %s", diff)
+	}
+	told := head.bulletin()
+	leaf.tell("z1-1", told)
+	if diff := cmp.Diff([]int{9, 25, 25}, []int{told.ZoneSize, told.FleetSize, leaf.instances()}); diff != "" {
+		t.Errorf("told and leaf: %s", diff)
+	}
+}
+
+// An instance that read lately that it is a member goes on as one, though a peer
+// has not read of it yet.
+func TestPeerThatDoesNotKnowTheMember(t *testing.T) {
+	f := newMember(1, 3)
+	f.peers.isListed = false
+	view := message.Bulletin{View: 12, Groups: nil}
+	f.hearView("z1-2", clock.Now(), view)
+	if f.Leases.View().Member {
+		t.Error("a member by its own word")
+	}
+	members := f.peers.members
+	members["z1-1"] = member{Address: addressOf(1, 1), Zone: "z1"}
+	f.takeMembers(members, 13)
+	view.View = 14
+	f.hearView("z1-2", clock.Now(), view)
+	if !f.Leases.View().Member {
+		t.Error("no member, though the table listed it a moment ago")
+	}
+}
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
-	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
@@ -24,7 +22,7 @@
 			continue
 		}
 		_, err := f.write(ctx, store.Change{Set: []store.Row{{
-			Table: groupTable, Key: memberPrefix + string(f.options.Name), Value: f.encode(f.options.Peer),
+			Table: groupTable, Key: memberPrefix + string(f.options.Name), Value: f.encode(&member{Address: f.options.Peer, Zone: f.options.Zone}),
 		}}})
 		if err == nil {
 			pause.Reset()
@@ -37,8 +35,9 @@
 	}
 }
 
-// forgetMembers deletes the rows of members that nobody can have heard for long.
-// Members that were never heard count from this instance's start.
+// forgetMembers deletes the rows of members of the own availability zone that were
+// not heard for long. Members that were never heard count from this instance's
+// start.
 func (f *Fleet) forgetMembers(ctx context.Context) {
 	f.peers.mu.Lock()
 	now := clock.Now()
@@ -49,13 +48,14 @@
 		}
 	}
 	var gone []store.Row
-	for name := range f.peers.members {
-		if now.Sub(f.started) > forgottenAfter && now.Sub(heard[name]) > forgottenAfter {
+	for name, m := range f.peers.members {
+		if m.Zone == f.options.Zone && now.Sub(f.started) > forgottenAfter && now.Sub(heard[name]) > forgottenAfter {
 			gone = append(gone, store.Row{Table: groupTable, Key: memberPrefix + string(name)})
 		}
 	}
 	f.peers.mu.Unlock()
-	if len(gone) == 0 || !f.isFirst() {
+	_, isFirst := f.firstOf(func(p *peer) bool { return p.bulletin.Zone == f.options.Zone })
+	if len(gone) == 0 || !isFirst {
 		return
 	}
 	if _, err := f.write(ctx, store.Change{Delete: gone}); err != nil {
@@ -74,40 +74,24 @@
 // isMember reports whether the newest view lists this instance.
 func (f *Fleet) isMember() bool { return f.Leases.View().Member }
 
+// isListedLately reports whether the members were read lately and this instance
+// was among them. A peer whose list is older than that may not know it yet.
+func (f *Fleet) isListedLately() bool {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	return f.peers.isListed && clock.Since(f.peers.membersRead) < listedFor
+}
+
 // takeMembers takes in the members as of a version of the table of groups.
-func (f *Fleet) takeMembers(members map[model.InstanceID]netip.AddrPort, version uint64) {
+func (f *Fleet) takeMembers(members map[model.InstanceID]member, version uint64) {
+	_, isListed := members[f.options.Name]
 	delete(members, f.options.Name)
 	f.peers.mu.Lock()
-	changed := version > f.peers.membersVersion && !maps.Equal(members, f.peers.members)
+	defer f.peers.mu.Unlock()
 	if version > f.peers.membersVersion {
 		f.peers.members, f.peers.membersVersion = members, version
 	}
 	if version >= f.peers.membersVersion {
-		f.peers.membersRead = clock.Now()
-	}
-	f.peers.mu.Unlock()
-	if changed {
-		f.setLinks()
-	}
-}
-
-// setLinks tells the peer edge whom to keep a link to: all members, and the
-// seeds.
-func (f *Fleet) setLinks() {
-	f.peers.mu.Lock()
-	defer f.peers.mu.Unlock()
-	var targets []message.PeerTarget
-	add := func(address netip.AddrPort) {
-		target := message.PeerTarget{Address: address}
-		if address != f.options.Peer && !slices.Contains(targets, target) {
-			targets = append(targets, target)
-		}
-	}
-	for _, address := range f.peers.members {
-		add(address)
-	}
-	for _, seed := range f.options.Seeds {
-		add(seed)
+		f.peers.membersRead, f.peers.isListed = clock.Now(), isListed
 	}
-	f.peers.links.Act(message.SetPeers{Peers: targets})
 }
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -36,7 +36,7 @@
 	if verdict := f.Leases.Judge(grant, answered); verdict != lease.VerdictPending {
 		return verdict
 	}
-	f.wantRenewal()
+	f.wantView()
 	soon, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
 	if verdict := f.Leases.Await(grant, answered, soon.Done()); verdict != lease.VerdictPending {
@@ -164,10 +164,10 @@
 	return errors.As(err, &failure) && failure.Code != statement.CodeWrongDatabase
 }
 
-// Doubt implements session.Prover: the table of groups is read at once where it
-// was not just now.
+// Doubt implements session.Prover: a newer view is asked for where the present
+// one is not quite new.
 func (f *Fleet) Doubt(model.GroupID) {
 	if clock.Since(f.Leases.View().Began) > renewPause {
-		f.wantRenewal()
+		f.wantView()
 	}
 }
--- a/internal/node/fleet/steward.go
+++ b/internal/node/fleet/steward.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
@@ -87,22 +88,11 @@
 // evidence gathers what is known of a group's primary.
 func (f *Fleet) evidence(name model.GroupID, row lease.Row) succession.Evidence {
 	e := succession.Evidence{}
-	if failing := f.Scheduler.Failing(name); failing >= 0 {
-		e.Failing = append(e.Failing, failing)
+	e.Witnesses, e.Silent = f.witnessed(name, row.Epoch, f.Scheduler.Failing(name))
+	for _, note := range f.otherZones(name, row.Epoch) {
+		e.Witnesses += note.Witnesses
+		e.Silent += note.Silent
 	}
-	f.peers.mu.Lock()
-	now := clock.Now()
-	for _, p := range f.peers.known {
-		if !p.isAlive(now) || p.bulletin.ViewAge >= lease.Length {
-			continue
-		}
-		for _, note := range p.bulletin.Groups {
-			if note.Group == name && note.Row.Epoch == row.Epoch && note.Failing >= 0 {
-				e.Failing = append(e.Failing, note.Failing)
-			}
-		}
-	}
-	f.peers.mu.Unlock()
 	for _, d := range f.databasesOf(name) {
 		switch {
 		case d.ID == row.Primary:
@@ -115,6 +105,25 @@
 	return e
 }
 
+// otherZones returns what is known of a group's primary in each other availability
+// zone: the word of the instance there that has heard the most of them.
+func (f *Fleet) otherZones(name model.GroupID, epoch uint64) map[model.ZoneID]message.GroupNote {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	now := clock.Now()
+	notes := map[model.ZoneID]message.GroupNote{}
+	for _, p := range f.peers.known {
+		zone := p.bulletin.Zone
+		if zone == f.options.Zone || !p.isAlive(now) || p.bulletin.ViewAge >= lease.Length {
+			continue
+		}
+		if note, found := p.note(name, epoch); found && note.Witnesses > notes[zone].Witnesses {
+			notes[zone] = note
+		}
+	}
+	return notes
+}
+
 // encode writes a value for a row.
 func (f *Fleet) encode(value any) []byte {
 	body, err := msgpack.Marshal(value)
--- a/internal/node/fleet/steward_change.go
+++ b/internal/node/fleet/steward_change.go
@@ -16,9 +16,9 @@
 
 // change replaces the primary of a group.
 func (f *Fleet) change(ctx context.Context, name model.GroupID, row lease.Row, duty lease.Duty, reason string) {
-	began := clock.Now()
+	began, evidence := clock.Now(), f.evidence(name, row)
 	f.note(event.ChangeBegun, event.F("group", name), event.F("epoch", row.Epoch), event.F("primary", row.Primary),
-		event.F("reason", reason), event.F("failing", f.evidence(name, row).Failing))
+		event.F("reason", reason), event.F("witnesses", evidence.Witnesses), event.F("silent", evidence.Silent))
 	claimed, ok := f.claim(ctx, name, row, duty, reason)
 	if !ok {
 		return
@@ -84,14 +84,15 @@
 	if f.peers.membersVersion < version {
 		return false
 	}
-	seen := map[model.InstanceID]bool{}
+	seen, floors := f.peers.seen(), map[model.ZoneID]uint64{}
 	for _, p := range f.peers.known {
-		if p.bulletin.View >= version {
-			seen[p.bulletin.Name] = true
+		zone := p.bulletin.Zone
+		if p.bulletin.FloorOf == f.peers.membersOf(f.options, zone) {
+			floors[zone] = max(floors[zone], p.bulletin.Floor)
 		}
 	}
-	for name := range f.peers.members {
-		if !seen[name] {
+	for name, m := range f.peers.members {
+		if seen[name] < version && floors[m.Zone] < version {
 			return false
 		}
 	}
--- a/internal/node/fleet/steward_duty.go
+++ b/internal/node/fleet/steward_duty.go
@@ -23,7 +23,7 @@
 		return true
 	case f.hears(duty.Holder) || f.peersHear(duty.Holder):
 		return false
-	case len(f.alive())+1 >= f.majority():
+	case f.isMajority():
 		return true
 	default:
 		return f.hasChallenged(ctx, duty)
--- a/internal/report/event/event_steward.go
+++ b/internal/report/event/event_steward.go
@@ -17,9 +17,9 @@
 	}
 	ChangeBegun = Event{
 		Number: 422, Name: "change-begun", Level: LevelWarn,
-		Text: "This instance begins to replace a primary: why, and for how long each live instance has " +
-			"had no answer of it.",
-		Fields: []string{"group", "epoch", "primary", "reason", "failing"},
+		Text: "This instance begins to replace a primary: why, how many instances know whether it " +
+			"answers, and how many of them it does not answer.",
+		Fields: []string{"group", "epoch", "primary", "reason", "witnesses", "silent"},
 	}
 	ChangeFailed = Event{
 		Number: 423, Name: "change-failed", Level: LevelWarn,
