Hold scarce connections only while they are used

The scheduler also divided by the number of instances that it was told at start: an instance that hears its heads only learns the size of the fleet from bulletins later.

Weighed: statements carried by peers that own connections (a second protocol between instances, a hop more for most statements, owners to choose and to replace); leases of connections; connections for the time of their use. About 20 of 50 are in use at once by the transactions of a primary, and opening one takes 12 ms of a slot, a fifth of the slots at this load; the last way needs nothing agreed between instances.

Change: where there are fewer connections than instances an instance may use two, and closes each 60 ms after its last use. The scheduler is told again when the number of instances changes.

Statements carried by owners would save those openings.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -22,6 +22,9 @@
 	// primaryFactor weighs down the primary for reads that a replica can serve:
 	// its slots are the only ones for writes.
 	primaryFactor = 4
+	// scarceShare is the number of connections that one instance may use where
+	// there are fewer than instances: one beside one that a transaction holds.
+	scarceShare = 2
 	// connectionsKept is the number of connections of a database that are left
 	// to the control questions of all instances.
 	connectionsKept = 1
@@ -105,5 +108,8 @@
 // connectionShare returns how many connections of a database this instance may
 // use.
 func (s *Scheduler) connectionShare(b *belief) int {
+	if b.IsScarce {
+		return scarceShare
+	}
 	return max(1, (b.Connections-connectionsKept)/s.instances)
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -47,6 +47,9 @@
 	// Connections is the number of connections that it takes from all
 	// instances together.
 	Connections int
+	// IsScarce says that there are fewer connections than instances: each holds
+	// one only while it uses it.
+	IsScarce bool
 	// Leaving says that it takes no new work, unless it is the primary and no
 	// other has taken over yet.
 	Leaving bool
@@ -147,6 +150,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances = max(1, instances)
+	for i := range databases {
+		databases[i].IsScarce = databases[i].Connections-connectionsKept < s.instances
+	}
 	known := s.byID
 	s.byID = make(map[model.DatabaseID]*belief, len(databases))
 	for _, g := range s.groups {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -309,3 +309,18 @@
 		})
 	}
 }
+
+// Where there are fewer connections than instances, each may use a few, and gives
+// them back when it does not.
+func TestScarceConnections(t *testing.T) {
+	s, _ := newFixture(t)
+	s.SetDatabases([]Database{{ID: "a", Group: ratings, Slots: 100, Connections: 9}}, 9)
+	need := Need{Group: ratings, Arrived: clock.Now(), Primary: true}
+	var held []Seat
+	for !isRefused(t, s, need) {
+		held = append(held, mustAcquire(t, s, need))
+	}
+	if diff := cmp.Diff([]any{scarceShare, true}, []any{len(held), held[0].Database.IsScarce}); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -22,6 +22,7 @@
 	"context"
 	"expvar"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	// idleKept is how long a connection is kept without use. Opening one takes
 	// a slot of the database.
 	idleKept = 12 * time.Second
+	// scarceKept is how long one is kept of which there are fewer than instances:
+	// for the next statement of a busy caller.
+	scarceKept = 60 * time.Millisecond
 	// preparedKept is the number of prepared statements on a connection beyond
 	// which it is cleared.
 	preparedKept = 200
@@ -149,6 +153,20 @@
 	defer p.mu.Unlock()
 	conn.used = clock.Now()
 	p.idle[conn.target.ID] = append(p.idle[conn.target.ID], conn)
+	if used := conn.used; conn.target.IsScarce {
+		time.AfterFunc(scarceKept, func() { p.discard(conn, used) })
+	}
+}
+
+// discard closes a connection that was not used since a time.
+func (p *Pool) discard(conn *Conn, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[conn.target.ID]
+	if i := slices.Index(idle, conn); i >= 0 && conn.used.Equal(since) {
+		p.idle[conn.target.ID] = slices.Delete(idle, i, i+1)
+		conn.Close()
+	}
 }
 
 // Forget closes the idle connections to a database.
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -109,3 +109,29 @@
 		})
 	}
 }
+
+// A connection of which there are few is closed soon after its last use, and not
+// while it is used.
+func TestScarceConnectionIsGivenBack(t *testing.T) {
+	address, _ := echo(t)
+	pool := NewPool(lines{})
+	target := placement.Database{ID: "a", Address: address, IsScarce: true}
+	conn, err := pool.Get(t.Context(), target, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Put(conn)
+	if again, err := pool.Get(t.Context(), target, nil); err != nil || again != conn {
+		t.Fatalf("not used again at once: %v", err)
+	}
+	time.Sleep(2 * scarceKept)
+	if _, err := conn.Exchange(time.Second, []statement.Call{{ID: "1"}}); err != nil {
+		t.Fatalf("closed while it was used: %v", err)
+	}
+	pool.Put(conn)
+	for end := time.Now().Add(10 * time.Second); conn.isOpen(); time.Sleep(scarceKept / 4) {
+		if time.Now().After(end) {
+			t.Fatal("kept although it is scarce")
+		}
+	}
+}
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -46,6 +46,8 @@
 	entries map[model.DatabaseID]*entry
 	// raw is the configuration in force as the operator wrote it.
 	raw []byte
+	// sharing is the number of instances that the scheduler was told last.
+	sharing int
 	// listed is the store's version of the list of databases.
 	listed uint64
 	// askedConfiguration and askedDatabases are the last questions to peers.
@@ -339,11 +341,13 @@
 	return f.directory.configuration.Version, f.directory.raw
 }
 
-// republish tells the scheduler again: the number of instances has changed.
+// republish tells the scheduler again where the number of instances has changed.
 func (f *Fleet) republish() {
 	f.directory.mu.Lock()
 	defer f.directory.mu.Unlock()
-	f.publish()
+	if f.directory.sharing != f.instances() {
+		f.publish()
+	}
 }
 
 // lapse notes that a database's entry is missing, and reports whether that is
@@ -439,7 +443,8 @@
 		published.Connections = d.configuration.Groups[known.Group].Connections
 		databases = append(databases, published)
 	}
-	f.Scheduler.SetDatabases(databases, f.instances())
+	d.sharing = f.instances()
+	f.Scheduler.SetDatabases(databases, d.sharing)
 }
 
 // -----------------------------------------------------------------------------
--- a/internal/node/fleet/directory_test.go
+++ b/internal/node/fleet/directory_test.go
@@ -40,3 +40,16 @@
 		t.Errorf("%d offers of one configuration to %d instances", offers, instances)
 	}
 }
+
+// The scheduler hears of a change in the number of instances that only a peer
+// has told.
+func TestSharesFollowTheFleet(t *testing.T) {
+	f := newMember(5, 9)
+	f.republish()
+	before := f.directory.sharing
+	f.tell("z1-1", message.Bulletin{ZoneSize: 9, FleetSize: 27})
+	f.republish()
+	if diff := cmp.Diff([]int{7, 27}, []int{before, f.directory.sharing}); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -191,6 +191,7 @@
 			return
 		case <-ticker.C:
 			f.setLinks()
+			f.republish()
 			f.expireDatabases()
 			f.createRows(ctx)
 			f.forgetMembers(ctx)
