Keep the platform's logbook in the product's form; measure statements by rank

Cause: the records on the platform held the row only: no time, no old primary, no evidence, and no command read them. Metrics knew routes and no ranks.

Change: a change of primary writes the record that PostgreSQL groups have: before, evidence, position of the old primary, when it was suspected, claimed and promoted. Histograms by rank and group, and of the time in queues.

--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -216,9 +217,19 @@
 		event.F("epoch", seat.Grant.Epoch), event.F("why", why), event.F("attempt", a.attempts))
 }
 
+// measure takes the time of a statement, and its part in queues, into the
+// histograms: by route, and by rank and group.
+func (s *session) measure(a *asked, outcome string) {
+	took := clock.Since(a.arrived)
+	by := strconv.Itoa(int(a.route.Rank)) + "/" + string(a.route.Group)
+	metrics.Observe("statements", a.route.Name+"/"+outcome, took)
+	metrics.Observe("ranks", by+"/"+outcome, took)
+	metrics.Observe("waits", by, a.waited)
+}
+
 // succeeded logs an answer that goes to the caller.
 func (s *session) succeeded(a *asked, v *visit, reply *backend.Reply, proof string) {
-	metrics.Observe("statements", a.route.Name+"/ok", clock.Since(a.arrived))
+	s.measure(a, "ok")
 	age := time.Duration(0)
 	if !v.seat.Since.IsZero() {
 		age = clock.Since(v.seat.Since)
@@ -233,7 +244,7 @@
 
 // refused logs a failure that goes to the caller, and returns the answer.
 func (s *session) refused(a *asked, seat placement.Seat, failure *statement.FailureError, state statement.State) statement.Answer {
-	metrics.Observe("statements", a.route.Name+"/"+failure.Code.String(), clock.Since(a.arrived))
+	s.measure(a, failure.Code.String())
 	s.server.note(event.StatementFailed,
 		event.F("request", a.ID), event.F("route", a.route.Name), event.F("statement", nameOf(a.Statement)),
 		event.F("code", failure.Code.String()), event.F("text", failure.Text),
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -22,6 +22,7 @@
 //	steward.go         when a primary is changed
 //	steward_duty.go    by whom
 //	steward_change.go  how
+//	logbook.go         the records of changes
 //	ask.go             questions to databases
 //
 // # Usage
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -249,7 +248,7 @@
 			Expected: []store.Row{{Table: groupTable, Key: groupKey(group.name)}},
 			Set: []store.Row{
 				{Table: groupTable, Key: groupKey(group.name), Value: f.encode(&row)},
-				{Table: logbookTable, Key: logbookKey(group.name, row.Epoch), Value: f.encode(&row)},
+				f.recordRow(f.firstRecord(group.name, row), row.Epoch),
 			},
 		}
 		if duty := view.Duty; duty.Holder == "" {
@@ -292,8 +291,3 @@
 	}
 	return missing
 }
-
-// logbookKey orders the records of a group by epoch.
-func logbookKey(name model.GroupID, epoch uint64) string {
-	return fmt.Sprintf("%s/%020d", name, epoch)
-}
--- /dev/null
+++ b/internal/node/fleet/logbook.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/engine"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/status"
+)
+
+// logbookTable keeps a record of each change of primary, as JSON. A record is
+// written in one transaction with the row that it tells of.
+const logbookTable = "eelgrassfold-logbook"
+
+// logbookKey orders the records of a group by epoch.
+func logbookKey(name model.GroupID, epoch uint64) string {
+	return fmt.Sprintf("%s/%020d", name, epoch)
+}
+
+// recordRow is the row of a record.
+func (f *Fleet) recordRow(record engine.Record, epoch uint64) store.Row {
+	body, err := json.Marshal(record)
+	if err != nil {
+		// The record is of plain types.
+		panic(err)
+	}
+	return store.Row{Table: logbookTable, Key: logbookKey(record.Group, epoch), Value: body}
+}
+
+// newRecord begins the record of a change that this instance claims now.
+func (f *Fleet) newRecord(name model.GroupID, row lease.Row, reason string, evidence succession.Evidence) engine.Record {
+	now := time.Now()
+	record := engine.Record{
+		Group: name, Before: row.Primary, Steward: f.options.Instance, Reason: reason,
+		Suspected: now.Add(-max(f.Scheduler.Failing(name), 0)), Claimed: now,
+	}
+	if evidence.Silent > 0 {
+		record.Evidence = append(record.Evidence, fmt.Sprintf("no answer to %d of the %d instances that asked it, for %v or longer",
+			evidence.Silent, evidence.Witnesses, succession.SilentFor))
+	}
+	return record
+}
+
+// firstRecord is the record of a group's first row.
+func (f *Fleet) firstRecord(name model.GroupID, row lease.Row) engine.Record {
+	return engine.Record{
+		Group: name, Primary: row.Primary, Steward: row.Steward, Reason: row.Reason, Promoted: time.Now(),
+	}
+}
+
+// Logbook returns the records of a group, or of all where name is empty, the
+// oldest first. Its errors are those of the store.
+func (f *Fleet) Logbook(ctx context.Context, name string) (status.Logbook, error) {
+	rows, err := f.read(ctx, logbookTable)
+	if err != nil {
+		return status.Logbook{}, err
+	}
+	var records []engine.Record
+	for _, row := range rows.Rows {
+		var record engine.Record
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			f.note(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key), event.F("error", err.Error()))
+			continue
+		}
+		if name == "" || string(record.Group) == name {
+			records = append(records, record)
+		}
+	}
+	slices.SortStableFunc(records, func(a, b engine.Record) int {
+		if c := a.Promoted.Compare(b.Promoted); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Group), string(b.Group))
+	})
+	report := status.Logbook{Asked: time.Now(), Records: []any{}}
+	for _, record := range records {
+		report.Records = append(report.Records, record)
+	}
+	return report, nil
+}
--- a/internal/node/fleet/steward.go
+++ b/internal/node/fleet/steward.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// logbookTable keeps a record of each change of primary.
-	logbookTable = "eelgrassfold-logbook"
 	// inquireTimeout bounds the question for a database's standing.
 	inquireTimeout = 400 * time.Millisecond
 	// stepDownWait is how long a change waits for the old primary's standing once
--- a/internal/node/fleet/steward_change.go
+++ b/internal/node/fleet/steward_change.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/engine"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
@@ -19,6 +20,7 @@
 	began, evidence := clock.Now(), f.evidence(name, row)
 	f.note(event.ChangeBegun, event.F("group", name), event.F("epoch", row.Epoch), event.F("primary", row.Primary),
 		event.F("reason", reason), event.F("witnesses", evidence.Witnesses), event.F("silent", evidence.Silent))
+	record := f.newRecord(name, row, reason, evidence)
 	claimed, ok := f.claim(ctx, name, row, duty, reason)
 	if !ok {
 		return
@@ -26,6 +28,9 @@
 	answers := f.inquirePrimary(ctx, name, row.Primary)
 	f.awaitRevoked(ctx, name, claimed.Version, duty.Holder == f.options.Instance)
 	old := f.stepDown(ctx, name, answers)
+	if !old.IsZero() {
+		record.Fenced = []engine.FencedDatabase{{Database: row.Primary, Position: old.String()}}
+	}
 	chosen, ok := f.choose(ctx, name, claimed, old)
 	if !ok {
 		f.note(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
@@ -44,7 +49,9 @@
 		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.database.ID, Term: term,
 		Steward: f.options.Instance, Reason: reason,
 	}
-	for ctx.Err() == nil && !f.finish(ctx, name, claimed, next) {
+	record.Primary, record.Term, record.Position = chosen.database.ID, term, chosen.standing.Received.String()
+	record.Promoted = time.Now()
+	for ctx.Err() == nil && !f.finish(ctx, name, claimed, next, record) {
 		sleep(ctx, stewardPause)
 	}
 	f.note(event.ChangeEnded, event.F("group", name), event.F("epoch", next.Epoch), event.F("primary", chosen.database.ID),
@@ -132,12 +139,12 @@
 
 // finish writes the row of the new primary and the record of the change. It
 // reports true also where another instance has gone on with the change.
-func (f *Fleet) finish(ctx context.Context, name model.GroupID, claimed, next lease.Row) bool {
+func (f *Fleet) finish(ctx context.Context, name model.GroupID, claimed, next lease.Row, record engine.Record) bool {
 	_, err := f.write(ctx, store.Change{
 		Expected: []store.Row{{Table: groupTable, Key: groupKey(name), Version: claimed.Version}},
 		Set: []store.Row{
 			{Table: groupTable, Key: groupKey(name), Value: f.encode(&next)},
-			{Table: logbookTable, Key: logbookKey(name, next.Epoch), Value: f.encode(&next)},
+			f.recordRow(record, next.Epoch),
 		},
 	})
 	f.noteRow(name, next, err)
