Replace a holder of the duty that has lost the store

The others heard that the store does not answer the holder, but took the holder's own word that the holder is heard.

Ruled out: detection (0.8 s), leases (17 ms by confirmation), the promotion (1 s).

Change: an instance does not call itself heard without the store, and a holder's word of itself does not count. A change that has ended waits for its row in the view, since an older view began it once more (two calls and a conflict).

TestHolderWithoutTheStore red in 2 of 6 cases before.

--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -178,10 +178,11 @@
 	return zone, fleet
 }
 
-// hears reports whether an instance is this one or was heard lately.
+// hears reports whether an instance is this one or was heard lately, and the store
+// answers it.
 func (f *Fleet) hears(id model.InstanceID) bool {
 	if id == f.options.Instance {
-		return !f.leaving.Load()
+		return f.stored.Load() && !f.leaving.Load()
 	}
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
--- a/internal/node/fleet/steward.go
+++ b/internal/node/fleet/steward.go
@@ -30,6 +30,8 @@
 	leadTimeout = 3 * time.Second
 	// stewardPause is the pause between two looks during a change.
 	stewardPause = 50 * time.Millisecond
+	// rowSeenWait bounds the wait for one's own row in a view: two reads of it.
+	rowSeenWait = 2 * renewTimeout
 	// challengeWait is how long a challenge of the duty's holder stands before
 	// the challenger takes the duty: the holder sees it within a renewal.
 	challengeWait = 1600 * time.Millisecond
--- a/internal/node/fleet/steward_change.go
+++ b/internal/node/fleet/steward_change.go
@@ -57,6 +57,19 @@
 	f.note(event.ChangeEnded, event.F("group", name), event.F("epoch", next.Epoch), event.F("primary", chosen.database.ID),
 		event.F("before", row.Primary), event.F("term", term), event.F("received", chosen.standing.Received.String()),
 		event.F("took", clock.Since(began).String()))
+	f.awaitEpoch(ctx, name, next.Epoch)
+}
+
+// awaitEpoch waits until the view shows an epoch of a group's row, for rowSeenWait
+// at most: an older view would have this instance begin the change once more.
+func (f *Fleet) awaitEpoch(ctx context.Context, name model.GroupID, epoch uint64) {
+	deadline := clock.Now().Add(rowSeenWait)
+	for ctx.Err() == nil && clock.Now().Before(deadline) {
+		if row, found := f.Leases.Row(name); found && row.Epoch >= epoch {
+			return
+		}
+		sleep(ctx, stewardPause/2)
+	}
 }
 
 // awaitRevoked waits until no instance uses the old primary and no earlier holder
--- a/internal/node/fleet/steward_duty.go
+++ b/internal/node/fleet/steward_duty.go
@@ -66,13 +66,14 @@
 	return version, err
 }
 
-// peersHear reports whether a live peer has heard the holder of the duty.
+// peersHear reports whether a live peer has heard the holder of the duty. The
+// holder's word of itself does not count: it was heard here already.
 func (f *Fleet) peersHear(holder model.InstanceID) bool {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
 	now := clock.Now()
-	for _, p := range f.peers.known {
-		if p.isAlive(now) && p.bulletin.Duty.Holder == holder && p.bulletin.Holder {
+	for id, p := range f.peers.known {
+		if id != holder && p.isAlive(now) && p.bulletin.Duty.Holder == holder && p.bulletin.Holder {
 			return true
 		}
 	}
