--- /dev/null
+++ b/internal/node/fleet/directory_configuration.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
+)
+
+// takeConfiguration takes in the rows of the operator's table.
+func (f *Fleet) takeConfiguration(rows store.Rows, key string) {
+	for _, row := range rows.Rows {
+		if row.Key == key && !row.Removed {
+			f.adopt(row.Value, "store")
+		}
+	}
+	f.confirm(clock.Now())
+}
+
+// adopt puts a configuration in force unless one as new already is.
+func (f *Fleet) adopt(body []byte, from string) {
+	decoded, err := f.options.Source.Configuration(body)
+	if err != nil {
+		f.note(event.ContentRejected, event.F("table", "configuration"), event.F("key", from), event.F("error", err.Error()))
+		return
+	}
+	d := &f.directory
+	d.mu.Lock()
+	before := d.configuration.Version
+	newer := !d.known || decoded.Version > before
+	if newer {
+		d.known = true
+		d.configuration = decoded
+		d.raw = body
+		f.publish()
+	}
+	d.mu.Unlock()
+	if newer {
+		f.broadcast()
+		f.note(event.ConfigurationAdopted,
+			event.F("version", decoded.Version), event.F("before", before), event.F("routes", len(decoded.Routes)),
+			event.F("source", from))
+	}
+}
+
+// confirm notes that the configuration in force was the newest at a time.
+func (f *Fleet) confirm(at time.Time) {
+	d := &f.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !at.After(d.confirmed) {
+		return
+	}
+	d.confirmed = at
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// configurationConfirmed returns when the configuration was last the newest.
+func (f *Fleet) configurationConfirmed() time.Time {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.confirmed
+}
+
+// Route implements session.Router.
+func (f *Fleet) Route(name string) (route.Route, bool) {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	found, is := f.directory.configuration.Routes[name]
+	return found, is
+}
+
+// Confirm implements session.Router: a name without a route is looked up in the
+// store before it is refused.
+func (f *Fleet) Confirm(ctx context.Context, name string) (route.Route, bool) {
+	if found, is := f.Route(name); is {
+		return found, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	for !f.isConfirmed() {
+		f.readConfiguration(ctx)
+		if f.isConfirmed() || !f.awaitConfiguration(ctx) {
+			break
+		}
+	}
+	return f.Route(name)
+}
+
+// isConfirmed reports whether the configuration was the newest a moment ago.
+func (f *Fleet) isConfirmed() bool {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.known && clock.Since(f.directory.confirmed) < f.options.ConfirmAge
+}
+
+// awaitConfiguration waits until the configuration was taken in or confirmed, and
+// reports whether that was so before ctx ended.
+func (f *Fleet) awaitConfiguration(ctx context.Context) bool {
+	f.directory.mu.Lock()
+	changed := f.directory.changed
+	f.directory.mu.Unlock()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readConfiguration reads the operator's table once.
+func (f *Fleet) readConfiguration(ctx context.Context) {
+	table, key := f.options.Source.ConfigurationTable()
+	rows, err := f.read(ctx, table)
+	if err != nil {
+		f.note(event.DependencyLost, event.F("dependency", "store/"+table), event.F("error", err.Error()))
+		sleep(ctx, pauseFirst)
+		return
+	}
+	f.takeConfiguration(rows, key)
+}
+
+// rawConfiguration returns the configuration in force as the operator wrote it.
+func (f *Fleet) rawConfiguration() (uint64, []byte) {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.configuration.Version, f.directory.raw
+}
+
+// IdleTransaction implements session.Router.
+func (f *Fleet) IdleTransaction() time.Duration {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.configuration.IdleTransaction
+}
+
+// Version implements session.Router.
+func (f *Fleet) Version() uint64 {
+	f.directory.mu.Lock()
+	defer f.directory.mu.Unlock()
+	return f.directory.configuration.Version
+}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -11,7 +11,10 @@
 //
 //	fleet.go           the parts and their common life
 //	watch.go           following a table of the store
-//	directory.go       the configuration and the databases in force
+//	directory.go       the configuration and the databases in force, from the
+//	                   store (directory_configuration.go, directory_database.go)
+//	                   and from peers (directory_peer.go)
+//	readiness.go       whether callers shall come here
 //	leases.go          the table of groups: views, and the first rows
 //	prove.go           verdicts for sessions
 //	survey.go          proofs while neither the store nor a peer answers
