Survey a group once a zone; send less to databases with scarce connections

Change: an instance has the first one of its availability zone survey for it; that one's round begins after it has heard the question, so that it proves what was answered before. Without an answer it asks the databases itself. Where connections are scarce an instance has one statement on its way to a database, two of the most urgent rank, and looks again 100 ms after a refusal.

--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -73,6 +73,23 @@
 	Sent time.Duration `msgpack:"sent"`
 }
 
+// SurveyWanted asks a peer to ask all databases of a group who leads it, after it
+// has heard this.
+type SurveyWanted struct {
+	Group model.GroupID `msgpack:"grp"`
+	// Sent is the sender's clock; the answer names it.
+	Sent time.Duration `msgpack:"sent"`
+}
+
+// SurveyTold answers a SurveyWanted.
+type SurveyTold struct {
+	Group model.GroupID `msgpack:"grp"`
+	Sent  time.Duration `msgpack:"sent"`
+	// Primary leads the group alone, where Proved is set.
+	Primary model.DatabaseID `msgpack:"db"`
+	Proved  bool             `msgpack:"ok"`
+}
+
 // DatabasesOffer passes on the databases' entries as the store held them.
 type DatabasesOffer struct {
 	Version uint64          `msgpack:"ver"`
@@ -93,5 +110,7 @@
 
 func (Bulletin) isPeerMessage()        {}
 func (BulletinWanted) isPeerMessage()  {}
+func (SurveyWanted) isPeerMessage()    {}
+func (SurveyTold) isPeerMessage()      {}
 func (DatabasesOffer) isPeerMessage()  {}
 func (DatabasesWanted) isPeerMessage() {}
--- a/internal/core/placement/belief.go
+++ b/internal/core/placement/belief.go
@@ -18,8 +18,8 @@
 	unreachablePause = 150 * time.Millisecond
 	unreachableMost  = time.Second
 	// fullPause is the time for which no connection is opened to a database
-	// that takes no further one.
-	fullPause = 300 * time.Millisecond
+	// that takes no further one: about what a statement holds one for.
+	fullPause = 100 * time.Millisecond
 	// silentAfter is the time without any answer after which a database that
 	// owes one gets no new work. Statements of the slowest kind take less.
 	silentAfter = 500 * time.Millisecond
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -99,6 +99,10 @@
 		return false
 	}
 	limit := (b.Slots+s.instances-1)/s.instances + statementsAhead
+	if b.IsScarce {
+		// One more on its way needs a connection more.
+		limit = 1
+	}
 	if rank == 0 {
 		limit += urgentAhead
 	}
--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -52,6 +52,8 @@
 	{"bulletin", 8, true, decode[message.Bulletin], message.Bulletin{}},
 	{"databases-offer", 9, false, decode[message.DatabasesOffer], message.DatabasesOffer{}},
 	{"bulletin-wanted", 11, true, decode[message.BulletinWanted], message.BulletinWanted{}},
+	{"survey-wanted", 13, false, decode[message.SurveyWanted], message.SurveyWanted{}},
+	{"survey-told", 14, false, decode[message.SurveyTold], message.SurveyTold{}},
 	{"databases-wanted", 10, false, decode[message.DatabasesWanted], message.DatabasesWanted{}},
 }
 
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -64,6 +64,8 @@
 	message.DatabasesOffer{Version: 12, Entries: []message.DatabaseEntry{{Key: "ratings-a", Value: []byte("entry"), Version: 11}}},
 	message.DatabasesWanted{Above: 11},
 	message.BulletinWanted{Sent: 9 * time.Second},
+	message.SurveyWanted{Group: "ratings", Sent: 9 * time.Second},
+	message.SurveyTold{Group: "ratings", Sent: 9 * time.Second, Primary: "ratings-a", Proved: true},
 }
 
 func TestBytesOfEachMessage(t *testing.T) {
@@ -145,6 +147,8 @@
 		asMessage(rapid.Make[message.DatabasesOffer]()),
 		asMessage(rapid.Make[message.DatabasesWanted]()),
 		asMessage(rapid.Make[message.BulletinWanted]()),
+		asMessage(rapid.Make[message.SurveyWanted]()),
+		asMessage(rapid.Make[message.SurveyTold]()),
 		asMessage(rapid.Custom(func(t *rapid.T) message.Bulletin {
 			note := rapid.Custom(func(t *rapid.T) message.GroupNote {
 				return message.GroupNote{
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -45,6 +45,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
@@ -115,6 +116,9 @@
 	stored  atomic.Bool
 	ready   atomic.Bool
 	running sync.WaitGroup
+	// life ends with the fleet, by end; what peers ask for runs under it.
+	life    context.Context
+	end     context.CancelFunc
 	started time.Time
 	// sessions are shed while the instance is cut off.
 	sessions Sessions
@@ -126,15 +130,18 @@
 // New returns a fleet that knows nothing yet.
 func New(options Options) *Fleet {
 	leases := lease.NewTable()
+	life, end := context.WithCancel(context.Background())
 	return &Fleet{
 		options:     options,
+		life:        life,
+		end:         end,
 		Leases:      leases,
 		Scheduler:   placement.NewScheduler(options.Zone, leases),
 		Pool:        backend.NewPool(options.Protocol),
 		directory:   newDirectory(),
 		renewal:     renewal{wanted: make(chan struct{}, 1)},
 		peers:       newPeers(),
-		surveys:     surveys{rounds: map[model.GroupID]*round{}, proved: map[model.GroupID]time.Time{}},
+		surveys:     surveys{rounds: map[model.GroupID]*round{}, proved: map[model.GroupID]time.Time{}, asked: map[time.Duration]chan message.SurveyTold{}},
 		stewardship: stewardship{busy: map[model.GroupID]chan struct{}{}},
 		samples:     map[model.GroupID]*fresh.Samples{},
 	}
@@ -156,6 +163,7 @@
 // Start runs the fleet until ctx ends. The channel gets its end.
 func (f *Fleet) Start(ctx context.Context) <-chan error {
 	f.started = clock.Now()
+	context.AfterFunc(ctx, f.end)
 	f.setLinks()
 	configurations, key := f.options.Source.ConfigurationTable()
 	for _, run := range []func(context.Context){
--- a/internal/node/fleet/peers_bulletin.go
+++ b/internal/node/fleet/peers_bulletin.go
@@ -194,6 +194,10 @@
 		f.hearBulletin(from, body)
 	case message.BulletinWanted:
 		f.answer(from, body)
+	case message.SurveyWanted:
+		f.answerSurvey(from, body)
+	case message.SurveyTold:
+		f.hearSurvey(body)
 	case message.ManifestWanted:
 		if version, raw := f.rawConfiguration(); version > body.Above {
 			f.peers.links.Act(message.SendPeer{To: from, Body: message.ManifestOffer{Number: version, Body: raw}})
--- /dev/null
+++ b/internal/node/fleet/survey_test.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
+)
+
+// peerThat answers messages to a peer in place of the links.
+type peerThat func(send message.SendPeer)
+
+// Act implements Links.
+func (p peerThat) Act(action message.Action) bool {
+	if send, is := action.(message.SendPeer); is {
+		p(send)
+	}
+	return true
+}
+
+// The first instance of a zone asks the databases for all of it; where it does not
+// answer, each asks by itself.
+func TestSurveyThroughThePeer(t *testing.T) {
+	grant := lease.Grant{Group: "ratings", Primary: "a", Epoch: 1}
+	for name, c := range map[string]struct {
+		told  *message.SurveyTold
+		stale bool
+		want  bool
+	}{
+		"proved":                 {&message.SurveyTold{Group: "ratings", Primary: "a", Proved: true}, false, true},
+		"another one leads":      {&message.SurveyTold{Group: "ratings", Primary: "b", Proved: true}, false, false},
+		"not proved":             {&message.SurveyTold{Group: "ratings", Primary: "a"}, false, false},
+		"of another group":       {&message.SurveyTold{Group: "results", Primary: "a", Proved: true}, false, false},
+		"of an earlier question": {&message.SurveyTold{Group: "ratings", Primary: "a", Proved: true}, true, false},
+		"no answer":              {nil, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMember(5, 9)
+			f.Attach(peerThat(func(send message.SendPeer) {
+				wanted, is := send.Body.(message.SurveyWanted)
+				if !is || c.told == nil {
+					return
+				}
+				told := *c.told
+				told.Sent = wanted.Sent
+				if c.stale {
+					told.Sent--
+				}
+				go f.Post(message.PeerHeard{From: send.To, Body: told})
+			}), idleSessions{})
+			f.tell("z1-1", message.Bulletin{})
+			f.Leases.Learn(lease.View{
+				Version: 1, Began: clock.Now(), Member: true,
+				Rows: map[model.GroupID]lease.Row{"ratings": {Epoch: 1, Primary: "a"}},
+			})
+			if diff := cmp.Diff(c.want, f.surveys.confirm(t.Context(), f, grant, clock.Now().Add(-time.Millisecond))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// A survey for a peer begins after the question was heard.
+func TestSurveyForAPeer(t *testing.T) {
+	f := newMember(1, 3)
+	answers := make(chan message.SurveyTold, 1)
+	f.Attach(peerThat(func(send message.SendPeer) {
+		if told, is := send.Body.(message.SurveyTold); is {
+			answers <- told
+		}
+	}), idleSessions{})
+	running, mine := f.surveys.join("ratings")
+	if !mine {
+		t.Fatal("a round runs already")
+	}
+	f.Post(message.PeerHeard{From: "z1-2", Body: message.SurveyWanted{Group: "ratings", Sent: 7}})
+	running.primary, running.proved = "a", true
+	f.surveys.end("ratings", running)
+	if diff := cmp.Diff(message.SurveyTold{Group: "ratings", Sent: 7}, <-answers); diff != "" {
+		t.Errorf("the round that ran already was taken: %s", diff)
+	}
+}
+
+func TestSoleLeader(t *testing.T) {
+	standing := func(id model.DatabaseID, role model.Role, term model.Term) standingOf {
+		s := standingOf{standing: statement.Standing{Role: role, Term: term}}
+		s.database.ID = id
+		return s
+	}
+	primary, replica := standing("a", model.RolePrimary, 2), standing("b", model.RoleReplica, 2)
+	for name, c := range map[string]struct {
+		heard []standingOf
+		all   int
+		want  bool
+	}{
+		"it leads alone":               {[]standingOf{primary, replica}, 2, true},
+		"one did not answer":           {[]standingOf{primary, replica}, 3, false},
+		"nobody answered":              {nil, 0, false},
+		"one is in another term":       {[]standingOf{primary, standing("c", model.RoleReplica, 3)}, 2, false},
+		"two lead":                     {[]standingOf{primary, standing("c", model.RolePrimary, 2)}, 2, false},
+		"nobody leads":                 {[]standingOf{replica}, 1, false},
+		"a former primary still leads": {[]standingOf{primary, standing("c", model.RolePrimary, 1), replica}, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, got := soleLeader(c.heard, c.all)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
