--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -202,6 +202,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			f.peers.prune(clock.Now())
 			f.setLinks()
 			f.republish()
 			f.expireDatabases()
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -210,6 +211,17 @@
 	}
 }
 
+// prune drops what no decision uses any more: starts of instances that were not
+// heard for longer than a member is kept, and links lost long ago.
+func (p *peers) prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.known, func(_ model.InstanceID, known *peer) bool {
+		return !known.linked && now.Sub(known.heard) > 2*forgottenAfter
+	})
+	maps.DeleteFunc(p.lost, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > lostFor })
+}
+
 func (p *peers) get(id model.InstanceID) *peer {
 	entry, found := p.known[id]
 	if !found {
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -200,3 +200,19 @@
 		t.Error("no member, though the table listed it a moment ago")
 	}
 }
+
+// What is kept of instances and links does not grow with their restarts.
+func TestOldStartsAreDropped(t *testing.T) {
+	f := newMember(1, 3)
+	f.tell("z1-2", message.Bulletin{})
+	f.tell("z1-3", message.Bulletin{})
+	f.Post(message.PeerLost{Peer: "z1-3", Address: addressOf(1, 3)})
+	now := clock.Now()
+	f.peers.prune(now)
+	kept := []int{len(f.peers.known), len(f.peers.lost)}
+	f.peers.prune(now.Add(2*forgottenAfter + time.Second))
+	kept = append(kept, len(f.peers.known), len(f.peers.lost))
+	if diff := cmp.Diff([]int{2, 1, 1, 0}, kept); diff != "" {
+		t.Error(diff)
+	}
+}
