Tell of groups once for many peers

Ruled out: the number of links (101 instances before 8 groups).

Change: notes are found by group; answers within 50 ms tell the same notes, a broadcast makes them anew; the list of databases is asked for each 400 ms at most.

--- a/internal/node/fleet/directory_peer.go
+++ b/internal/node/fleet/directory_peer.go
@@ -60,7 +60,8 @@
 	d.mu.Lock()
 	above, listed := d.configuration.Version, d.listed
 	wantsConfiguration := b.Configuration > above && d.askedConfiguration.isDue(b.Configuration, now)
-	wantsDatabases := b.Databases > listed && d.askedDatabases.isDue(b.Databases, now)
+	// All versions of the list count as one: at a start each database changes it.
+	wantsDatabases := b.Databases > listed && d.askedDatabases.isDue(0, now)
 	d.mu.Unlock()
 	if wantsConfiguration {
 		f.peers.links.Act(message.SendPeer{To: peer, Body: message.ManifestWanted{Above: above}})
--- a/internal/node/fleet/directory_test.go
+++ b/internal/node/fleet/directory_test.go
@@ -53,3 +53,26 @@
 		t.Error(diff)
 	}
 }
+
+// Databases that register themselves one after the other make an instance ask for
+// the list now and then, not for each of them.
+func TestListIsAskedForNowAndThen(t *testing.T) {
+	f := newMember(5, 9)
+	asked := 0
+	f.Attach(peerThat(func(send message.SendPeer) {
+		if _, is := send.Body.(message.DatabasesWanted); is {
+			asked++
+		}
+	}), idleSessions{})
+	for version := uint64(1); version <= 50; version++ {
+		f.askFor("z1-1", message.Bulletin{Databases: version})
+	}
+	if diff := cmp.Diff(1, asked); diff != "" {
+		t.Error(diff)
+	}
+	time.Sleep(askAgain)
+	f.askFor("z1-1", message.Bulletin{Databases: 51})
+	if diff := cmp.Diff(2, asked); diff != "" {
+		t.Errorf("later: %s", diff)
+	}
+}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -108,6 +108,7 @@
 	renewal   renewal
 	peers     peers
 	surveys   surveys
+	notes     notes
 	// probing holds the primaries that are being asked.
 	probing     sync.Map
 	stewardship stewardship
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -70,10 +70,27 @@
 	linked   bool
 	heard    time.Time
 	bulletin message.Bulletin
+	// notes are those of the bulletin, by group.
+	notes map[model.GroupID]message.GroupNote
 	// told is when the bulletin came.
 	told time.Time
 }
 
+// learn takes in a bulletin that came at a time.
+func (p *peer) learn(b message.Bulletin, now time.Time) {
+	p.heard, p.told, p.bulletin = now, now, b
+	p.notes = make(map[model.GroupID]message.GroupNote, len(b.Groups))
+	for _, note := range b.Groups {
+		p.notes[note.Group] = note
+	}
+}
+
+// note returns what the peer said last of a group's primary of an epoch.
+func (p *peer) note(name model.GroupID, epoch uint64) (message.GroupNote, bool) {
+	note, found := p.notes[name]
+	return note, found && note.Row.Epoch == epoch
+}
+
 // isAlive reports whether the instance was heard lately.
 func (p *peer) isAlive(now time.Time) bool {
 	silent := now.Sub(p.heard)
--- a/internal/node/fleet/peers_bulletin.go
+++ b/internal/node/fleet/peers_bulletin.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -12,6 +14,25 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 )
 
+// notesAge is how old the notes of groups in an answer to a peer may be: a tenth of
+// the time between two bulletins.
+const notesAge = bulletinInterval / 10
+
+// notes keeps the notes of all groups for answers that follow each other closely.
+type notes struct {
+	mu    sync.Mutex
+	notes []message.GroupNote
+	view  uint64
+	at    time.Time
+}
+
+// forget lets the next bulletin tell what is known then.
+func (n *notes) forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notes = nil
+}
+
 // announce sends bulletins until ctx ends.
 func (f *Fleet) announce(ctx context.Context) {
 	ticker := time.NewTicker(bulletinInterval)
@@ -50,6 +71,7 @@
 // broadcast sends a bulletin to every linked peer. What was heard of each is
 // read first: the bulletin's ages must not be older than that.
 func (f *Fleet) broadcast() {
+	f.notes.forget()
 	f.peers.mu.Lock()
 	heard := map[model.InstanceID]message.Bulletin{}
 	for id, p := range f.peers.known {
@@ -80,6 +102,30 @@
 	f.peers.mu.Lock()
 	b.ZoneSize, b.FleetSize = f.peers.sizes(f.options, func(p *peer, now time.Time) bool { return now.Sub(p.heard) < rememberedFor })
 	f.peers.mu.Unlock()
+	b.Groups = f.groupNotes(view, now)
+	return b
+}
+
+// groupNotes tells what this instance knows of the groups of a view. Peers that ask
+// one after the other get the same notes for notesAge; broadcast makes them anew.
+func (f *Fleet) groupNotes(view lease.View, now time.Time) []message.GroupNote {
+	f.notes.mu.Lock()
+	defer f.notes.mu.Unlock()
+	n := &f.notes
+	if age := now.Sub(n.at); n.view != view.Version || age >= notesAge || n.notes == nil {
+		n.notes, n.view, n.at = f.newNotes(view, now), view.Version, now
+		return n.notes
+	}
+	older := slices.Clone(n.notes)
+	for i := range older {
+		older[i].SampleAge += now.Sub(n.at)
+	}
+	return older
+}
+
+// newNotes makes the notes of all groups of a view.
+func (f *Fleet) newNotes(view lease.View, now time.Time) []message.GroupNote {
+	notes := make([]message.GroupNote, 0, len(view.Rows))
 	for name, row := range view.Rows {
 		// Who wrote the row and why is for the logs of those that read it.
 		row.Steward, row.Reason = "", ""
@@ -88,9 +134,9 @@
 		if sample, found := f.Of(name).Newest(); found {
 			note.Sampled, note.SampleAge = sample.Position, now.Sub(sample.At)
 		}
-		b.Groups = append(b.Groups, note)
+		notes = append(notes, note)
 	}
-	return b
+	return notes
 }
 
 // witnessed counts, in this instance's availability zone, the instances that know
@@ -120,16 +166,6 @@
 	return witnesses, silent
 }
 
-// note returns what a peer said last of a group's primary of an epoch.
-func (p *peer) note(name model.GroupID, epoch uint64) (message.GroupNote, bool) {
-	for _, note := range p.bulletin.Groups {
-		if note.Group == name && note.Row.Epoch == epoch {
-			return note, true
-		}
-	}
-	return message.GroupNote{}, false
-}
-
 // floor returns the oldest view among the members of the own availability zone,
 // where this instance has view, and which members these are; zero where one of
 // them was not heard.
@@ -218,8 +254,7 @@
 	f.peers.mu.Lock()
 	p := f.peers.get(from)
 	isNew := p.heard.IsZero()
-	p.heard = clock.Now()
-	p.bulletin, p.told = b, p.heard
+	p.learn(b, clock.Now())
 	close(f.peers.news)
 	f.peers.news = make(chan struct{})
 	f.peers.mu.Unlock()
--- /dev/null
+++ b/internal/node/fleet/peers_bulletin_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+)
+
+// Answers that follow each other closely tell the same, with ages that go on; a
+// new view, a broadcast and time make the notes anew.
+func TestNotesAreKeptForAMoment(t *testing.T) {
+	f := newMember(1, 3)
+	now := clock.Now()
+	sampled := model.Position{Term: 1, Offset: 7}
+	f.Of("ratings").Add(now, sampled)
+	view := lease.View{Version: 4, Rows: map[model.GroupID]lease.Row{"ratings": {Epoch: 1, Primary: "a"}}}
+	first := f.groupNotes(view, now)
+	f.Of("ratings").Add(now.Add(time.Second), model.Position{Term: 1, Offset: 9})
+	ages := []time.Duration{first[0].SampleAge}
+	positions := []uint64{first[0].Sampled.Offset}
+	tell := func(view lease.View, at time.Time) {
+		note := f.groupNotes(view, at)[0]
+		ages, positions = append(ages, note.SampleAge), append(positions, note.Sampled.Offset)
+	}
+	tell(view, now.Add(notesAge/2))
+	tell(view, now.Add(notesAge))
+	view.Version++
+	f.Of("ratings").Add(now.Add(2*time.Second), model.Position{Term: 1, Offset: 11})
+	tell(view, now.Add(notesAge))
+	f.Of("ratings").Add(now.Add(3*time.Second), model.Position{Term: 1, Offset: 13})
+	f.notes.forget()
+	tell(view, now.Add(notesAge))
+	if diff := cmp.Diff([]uint64{7, 7, 9, 11, 13}, positions); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]time.Duration{0, notesAge / 2}, ages[:2]); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -81,9 +81,9 @@
 // tell lets a fleet hear a bulletin of another instance.
 func (f *Fleet) tell(name model.InstanceID, b message.Bulletin) {
 	b.Name, b.Zone = name, model.ZoneID(name[:2])
-	f.peers.get(name).linked = true
-	f.peers.get(name).heard = clock.Now()
-	f.peers.get(name).bulletin = b
+	p := f.peers.get(name)
+	p.linked = true
+	p.learn(b, clock.Now())
 }
 
 // The members of another zone have seen a claim when their head says so, of the
--- a/internal/node/fleet/prove.go
+++ b/internal/node/fleet/prove.go
@@ -93,10 +93,8 @@
 		if !p.isAlive(now) || p.bulletin.Leaving || p.told.Before(known) {
 			continue
 		}
-		for _, note := range p.bulletin.Groups {
-			if note.Group == name && note.Row.Epoch == epoch && note.Failing == 0 {
-				return true
-			}
+		if note, found := p.note(name, epoch); found && note.Failing == 0 {
+			return true
 		}
 	}
 	return false
