Count what the present start of an instance has seen

Cause, found in reading: a claim counted as seen by a member when any start of it had seen it. A restarted member might take an older view from a peer's message that was held up, and use the old primary under it, though the claim had been confirmed in its name.

Change: the start that was heard last speaks for the member.

TestViewOfAFormerStart red before.

--- a/internal/node/fleet/peers_bulletin.go
+++ b/internal/node/fleet/peers_bulletin.go
@@ -197,13 +197,14 @@
 	return sum
 }
 
-// seen returns the newest view that each instance, by name, has said it has. The
-// peers are locked.
+// seen returns the view that each instance, by name, has said last that it has. What
+// a former start has seen the present one may not know. The peers are locked.
 func (p *peers) seen() map[model.InstanceID]uint64 {
-	seen := map[model.InstanceID]uint64{}
+	seen, heard := map[model.InstanceID]uint64{}, map[model.InstanceID]time.Time{}
 	for _, known := range p.known {
-		name := known.bulletin.Name
-		seen[name] = max(seen[name], known.bulletin.View)
+		if name := known.bulletin.Name; known.told.After(heard[name]) {
+			seen[name], heard[name] = known.bulletin.View, known.told
+		}
 	}
 	return seen
 }
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -216,3 +216,21 @@
 		t.Error(diff)
 	}
 }
+
+// A claim that a former start of an instance has seen is not seen by its present
+// one.
+func TestViewOfAFormerStart(t *testing.T) {
+	f := newMember(1, 3)
+	start := func(id model.InstanceID, view uint64) {
+		f.peers.get(id).learn(message.Bulletin{Name: "z1-2", Zone: "z1", View: view}, clock.Now())
+	}
+	start("z1-2-former", 20)
+	seen := []uint64{f.peers.seen()["z1-2"]}
+	start("z1-2-present", 0)
+	seen = append(seen, f.peers.seen()["z1-2"])
+	start("z1-2-present", 21)
+	seen = append(seen, f.peers.seen()["z1-2"])
+	if diff := cmp.Diff([]uint64{20, 0, 21}, seen); diff != "" {
+		t.Error(diff)
+	}
+}
