Refuse no name on a configuration that is not known

The configuration had 1,685 routes, 0.5 MB on the wire, and links of 10 Mbit/s: each caller with a name that was not known yet read it anew, the reads ran into their 700 ms, and what was waited for 1.2 s was refused as unknown.

Ruled out: the herd of starts (strong instances had the configuration after 50 ms), peers' offers (compressed to a tenth).

Change: a name is refused only on a configuration that was the newest a moment ago; else the caller is told to come back ("busy"). All names that wait share one read, each 500 ms at most. A read that ran into its limit has twice as long the next time, up to 2.8 s.

--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -38,9 +38,9 @@
 type Router interface {
 	// Route returns the route of a name that is in force.
 	Route(name string) (route.Route, bool)
-	// Confirm waits until it is certain whether a name has a route, as far as
-	// that can be known soon.
-	Confirm(ctx context.Context, name string) (route.Route, bool)
+	// Confirm waits until it is certain whether a name has a route, and reports
+	// whether that could be known soon.
+	Confirm(ctx context.Context, name string) (found, isCertain bool)
 	// IdleTransaction is how long a transaction may rest; zero sets no limit.
 	IdleTransaction() time.Duration
 	// Version is the version of the configuration in force.
@@ -177,10 +177,14 @@
 	}
 	ses.name = greeting.Name
 	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-	if _, found := s.options.Router.Confirm(s.ctx, greeting.Name); !found {
-		s.note(event.NameRefused, event.F("name", greeting.Name), event.F("why", "no route has the name"),
+	if found, isCertain := s.options.Router.Confirm(s.ctx, greeting.Name); !found {
+		failure := &statement.FailureError{Code: statement.CodeNoGroup, Text: "no route has the name " + greeting.Name}
+		if !isCertain {
+			failure = &statement.FailureError{Code: statement.CodeBusy, Text: "the configuration is not known yet; " + comeBack}
+		}
+		s.note(event.NameRefused, event.F("name", greeting.Name), event.F("why", failure.Text),
 			event.F("version", s.options.Router.Version()))
-		_ = ses.wire.Refuse(&statement.FailureError{Code: statement.CodeNoGroup, Text: "no route has the name " + greeting.Name})
+		_ = ses.wire.Refuse(failure)
 		return
 	}
 	if ses.wire.Welcome() != nil {
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -17,6 +17,8 @@
 	// confirmWait bounds the look at the store for a name without a route; a
 	// caller waits two seconds for an answer.
 	confirmWait = 1200 * time.Millisecond
+	// lookUpPause is the least time between two such looks.
+	lookUpPause = 500 * time.Millisecond
 	// askAgain is the time without an answer after which another peer is asked:
 	// more than a large answer takes on a slow link.
 	askAgain = 400 * time.Millisecond
@@ -36,6 +38,10 @@
 	// confirmed is a time at which the configuration was the newest, listedAt one
 	// at which the list of databases was.
 	confirmed, listedAt time.Time
+	// lookingUp says that the store is being asked for it, lookedUp when that
+	// ended.
+	lookingUp bool
+	lookedUp  time.Time
 	// changed is closed when a configuration was taken in, or confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
--- a/internal/node/fleet/directory_configuration.go
+++ b/internal/node/fleet/directory_configuration.go
@@ -35,6 +35,7 @@
 		d.known = true
 		d.configuration = decoded
 		d.raw = body
+		d.wake()
 		f.publish()
 	}
 	d.mu.Unlock()
@@ -55,6 +56,12 @@
 		return
 	}
 	d.confirmed = at
+	d.wake()
+}
+
+// wake lets those look again that wait for a configuration. The directory is
+// locked.
+func (d *directory) wake() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -74,21 +81,26 @@
 	return found, is
 }
 
-// Confirm implements session.Router: a name without a route is looked up in the
-// store before it is refused.
-func (f *Fleet) Confirm(ctx context.Context, name string) (route.Route, bool) {
-	if found, is := f.Route(name); is {
-		return found, true
-	}
+// Confirm implements session.Router: a name without a route is refused only on a
+// configuration that was the newest a moment ago.
+func (f *Fleet) Confirm(ctx context.Context, name string) (found, isCertain bool) {
 	ctx, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
-	for !f.isConfirmed() {
-		f.readConfiguration(ctx)
-		if f.isConfirmed() || !f.awaitConfiguration(ctx) {
-			break
+	for {
+		changed := f.configurationChanged()
+		if _, found = f.Route(name); found {
+			return true, true
+		}
+		if f.isConfirmed() {
+			return false, true
+		}
+		f.lookUp()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false, false
 		}
 	}
-	return f.Route(name)
 }
 
 // isConfirmed reports whether the configuration was the newest a moment ago.
@@ -98,18 +110,35 @@
 	return f.directory.known && clock.Since(f.directory.confirmed) < f.options.ConfirmAge
 }
 
-// awaitConfiguration waits until the configuration was taken in or confirmed, and
-// reports whether that was so before ctx ended.
-func (f *Fleet) awaitConfiguration(ctx context.Context) bool {
+// configurationChanged returns a channel that is closed when a configuration is
+// taken in, or confirmed.
+func (f *Fleet) configurationChanged() <-chan struct{} {
 	f.directory.mu.Lock()
-	changed := f.directory.changed
-	f.directory.mu.Unlock()
-	select {
-	case <-changed:
-		return true
-	case <-ctx.Done():
-		return false
+	defer f.directory.mu.Unlock()
+	return f.directory.changed
+}
+
+// lookUp reads the operator's table once for all that wait, unless that was done a
+// moment ago: a configuration may be as large as a slow link carries in a second.
+func (f *Fleet) lookUp() {
+	d := &f.directory
+	d.mu.Lock()
+	isDue := !d.lookingUp && clock.Since(d.lookedUp) >= lookUpPause
+	if isDue {
+		d.lookingUp = true
+	}
+	d.mu.Unlock()
+	if !isDue {
+		return
 	}
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		f.readConfiguration(f.life)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.lookingUp, d.lookedUp = false, clock.Now()
+	}()
 }
 
 // readConfiguration reads the operator's table once.
@@ -118,7 +147,6 @@
 	rows, err := f.read(ctx, table)
 	if err != nil {
 		f.note(event.DependencyLost, event.F("dependency", "store/"+table), event.F("error", err.Error()))
-		sleep(ctx, pauseFirst)
 		return
 	}
 	f.takeConfiguration(rows, key)
--- a/internal/node/fleet/directory_test.go
+++ b/internal/node/fleet/directory_test.go
@@ -76,3 +76,48 @@
 		t.Errorf("later: %s", diff)
 	}
 }
+
+// A name is refused only where the newest configuration is known, and many names
+// at once cost the store one read.
+func TestNameWithoutAConfiguration(t *testing.T) {
+	f := newMember(1, 3)
+	rows := f.options.Store.(*memoryStore)
+	rows.down(true)
+	const names = 20
+	type outcome struct{ found, isCertain bool }
+	outcomes := make(chan outcome, names)
+	for range names {
+		go func() {
+			found, isCertain := f.Confirm(t.Context(), "lookups")
+			outcomes <- outcome{found, isCertain}
+		}()
+	}
+	for range names {
+		if got := <-outcomes; got.found || got.isCertain {
+			t.Errorf("without a configuration: %+v", got)
+		}
+	}
+	if calls, most := rows.count(), int(confirmWait/lookUpPause)+1; calls > most {
+		t.Errorf("%d reads for %d names, want %d at most", calls, names, most)
+	}
+	f.options.ConfirmAge = time.Minute
+	rows.down(false)
+	rows.put("configurations", "current", "3")
+	if found, isCertain := f.Confirm(t.Context(), "lookups"); found || !isCertain {
+		t.Errorf("with the newest configuration: %v, %v", found, isCertain)
+	}
+}
+
+// A read that ran into its limit has longer the next time, within bounds.
+func TestPatienceWithLargeTables(t *testing.T) {
+	p := patience{limits: map[string]time.Duration{}}
+	var got []time.Duration
+	for _, ranOut := range []bool{true, true, true, false} {
+		p.learn("configurations", ranOut)
+		got = append(got, p.of("configurations"))
+	}
+	got = append(got, p.of("databases"))
+	if diff := cmp.Diff([]time.Duration{2 * readTimeout, readMost, readMost, readTimeout, readTimeout}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -109,6 +109,7 @@
 	peers     peers
 	surveys   surveys
 	notes     notes
+	patience  patience
 	// probing holds the primaries that are being asked.
 	probing     sync.Map
 	stewardship stewardship
@@ -135,6 +136,7 @@
 	return &Fleet{
 		options:     options,
 		life:        life,
+		patience:    patience{limits: map[string]time.Duration{}},
 		end:         end,
 		Leases:      leases,
 		Scheduler:   placement.NewScheduler(options.Zone, leases),
--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,7 +15,10 @@
 const (
 	// readTimeout bounds a read of the store: a read on a connection that went
 	// silent must end and be repeated well inside the bound for configurations.
+	// After each time-out the next read of that table has twice as long, up to
+	// readMost: a large configuration takes a slow link that long.
 	readTimeout = 700 * time.Millisecond
+	readMost    = 4 * readTimeout
 	// watchWait is how long the store holds a watch without a change: a watch that
 	// went silent must be found out inside the bound for configurations.
 	watchWait = 1600 * time.Millisecond
@@ -108,13 +112,38 @@
 
 // read reads a table whole.
 func (f *Fleet) read(ctx context.Context, table string) (store.Rows, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.patience.of(table))
 	defer cancel()
 	rows, err := f.options.Store.Read(ctx, table)
+	f.patience.learn(table, ctx.Err() != nil)
 	f.noteStored(err)
 	return rows, err
 }
 
+// patience is how long reads of the tables may take.
+type patience struct {
+	mu     sync.Mutex
+	limits map[string]time.Duration
+}
+
+// of returns the limit for the next read of a table.
+func (p *patience) of(table string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.limits[table], readTimeout)
+}
+
+// learn takes in whether a read of a table has run into its limit.
+func (p *patience) learn(table string, ranOut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !ranOut {
+		delete(p.limits, table)
+		return
+	}
+	p.limits[table] = min(2*max(p.limits[table], readTimeout), readMost)
+}
+
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
