A cancel request after the answer no longer applies to the answered request

Ruled out: a race in the test's cancelRaw; it waits until the server has processed the cancel request and closed its connection. Change: the request is cleared before the flush.

--- a/internal/edge/caller/cancel_test.go
+++ b/internal/edge/caller/cancel_test.go
@@ -66,6 +66,27 @@
 	caller.query("COMMIT")
 }
 
+// TestCancelAfterAnswer cancels a request whose answer has reached the caller, before
+// the core has learned that its attempt ended. A caller that has its answer can't mean
+// that request.
+func TestCancelAfterAnswer(t *testing.T) {
+	setup := newTestSetup(t)
+	canceled := make(chan struct{})
+	setup.core.hook = func(event message.Event) bool {
+		switch event.(type) {
+		case message.AttemptEnded:
+			<-canceled
+		case message.RequestCanceled:
+			t.Error("the cancellation was reported to the core")
+		}
+		return false
+	}
+	caller := startRaw(t, setup)
+	caller.query("select a")
+	cancelRaw(t, setup, caller.key)
+	close(canceled)
+}
+
 // TestCancelWaiting cancels a request that waits for its dispatch.
 func TestCancelWaiting(t *testing.T) {
 	setup := newTestSetup(t)
--- a/internal/edge/caller/finish.go
+++ b/internal/edge/caller/finish.go
@@ -93,12 +93,13 @@
 		r.dispatch.Token = model.Token{}
 	}
 	s.appendReady(r.transactionStatus)
+	// A caller that has its answer can't mean this request when it cancels.
+	s.currentRequest.Store(0)
 	err := s.flush()
 	r.partlySent = true
 	if r.transactionStatus != statusIdle {
 		r.alreadyFailed = r.transactionStatus == statusFailed
 		s.request = r
-		s.currentRequest.Store(0)
 		return err
 	}
 	if res.databaseError != nil || r.alreadyFailed {
