--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -70,4 +70,6 @@
 	// IdleTransactionTimeout is how long a transaction may be idle before it is rolled
 	// back; zero means no limit.
 	IdleTransactionTimeout time.Duration
+	// Rejected holds an error for each part that was invalid and has been left out.
+	Rejected []error
 }
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -14,6 +14,11 @@
 	// has gone missing: entries that expire while the store is unavailable are
 	// written again within two seconds of its return.
 	missingEntryGrace = 2500 * time.Millisecond
+	// maxRejected is the number of invalid entries that are remembered, so that each
+	// is logged once; maxRejectedLines is how many invalid parts of a configuration
+	// are logged.
+	maxRejected      = 1000
+	maxRejectedLines = 20
 	// routeConfirmTimeout bounds the read of the store for a name without a
 	// route; a caller waits two seconds for an answer.
 	routeConfirmTimeout = 1200 * time.Millisecond
@@ -47,6 +52,8 @@
 	// confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
+	// rejected holds the version of each entry that could not be decoded.
+	rejected map[string]uint64
 	// configurationBody is the configuration in force, encoded as the operator
 	// wrote it.
 	configurationBody []byte
@@ -96,5 +103,5 @@
 }
 
 func newDirectory() directory {
-	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}}
+	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}, rejected: map[string]uint64{}}
 }
--- a/internal/node/fleet/directory_configuration.go
+++ b/internal/node/fleet/directory_configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -48,6 +49,19 @@
 			event.F("version", decoded.Version), event.F("before", previousVersion),
 			event.F("routes", len(decoded.Routes)),
 			event.F("source", source))
+		f.logRejectedParts(decoded)
+	}
+}
+
+// logRejectedParts logs the parts of a configuration that were left out, up to
+// maxRejectedLines of them.
+func (f *Fleet) logRejectedParts(decoded route.Configuration) {
+	for i, err := range decoded.Rejected {
+		if i == maxRejectedLines {
+			return
+		}
+		f.logEvent(event.ContentRejected, event.F("table", "configuration"),
+			event.F("key", strconv.FormatUint(decoded.Version, 10)), event.F("error", err.Error()))
 	}
 }
 
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -22,6 +22,7 @@
 		listed[id] = true
 		d.listed = max(d.listed, row.Version)
 		if row.Deleted {
+			delete(d.rejected, row.Key)
 			d.listed = max(d.listed, rows.Version)
 			f.markMissing(id)
 			continue
@@ -73,16 +74,40 @@
 	return true
 }
 
-// applyEntry applies one entry. An entry that can't be decoded changes nothing.
-// The directory must be locked.
+// rejectEntry records that an entry can't be decoded. Such an entry names no database.
+// If it has taken the place of one that did, that database counts as missing from now
+// on: it is still used for missingEntryGrace, within which a database that is alive
+// writes its entry again. The entries of other databases are not affected. The directory
+// must be locked.
+func (f *Fleet) rejectEntry(row store.Row, err error) {
+	d := &f.directory
+	if current, found := d.entries[model.DatabaseID(row.Key)]; found {
+		if current.version > row.Version {
+			return
+		}
+		current.version = row.Version
+		f.markMissing(model.DatabaseID(row.Key))
+	}
+	if version, found := d.rejected[row.Key]; found && version >= row.Version {
+		return
+	}
+	if len(d.rejected) >= maxRejected {
+		clear(d.rejected)
+	}
+	d.rejected[row.Key] = row.Version
+	f.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
+		event.F("error", err.Error()))
+}
+
+// applyEntry applies one entry. The directory must be locked.
 func (f *Fleet) applyEntry(row store.Row) {
 	decoded, err := f.options.Schema.DecodeDatabase(row.Key, row.Value)
 	if err != nil {
-		f.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
-			event.F("error", err.Error()))
+		f.rejectEntry(row, err)
 		return
 	}
 	d := &f.directory
+	delete(d.rejected, row.Key)
 	current, found := d.entries[decoded.ID]
 	if !found || current.Incarnation != decoded.Incarnation {
 		current = &entry{}
--- a/internal/node/fleet/directory_test.go
+++ b/internal/node/fleet/directory_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
 
 // All peers announce a new version at once, but it must be requested from one
@@ -125,3 +129,42 @@
 		t.Error(diff)
 	}
 }
+
+// An entry that can't be decoded is logged once for each of its versions, however often
+// the list is read. If it replaces the entry of a database in use, that database is
+// used for missingEntryGrace, so that it can write its entry again, and no longer.
+// Other databases are not affected.
+func TestOddEntry(t *testing.T) {
+	var log strings.Builder
+	f := newUnstartedFleet(5, 9)
+	f.options.Log = eventlog.NewWriter(funcr.New(func(_, line string) { log.WriteString(line + "\n") }, funcr.Options{}), eventlog.DefaultLinesPerSecond)
+	rows := func(version uint64, first string) store.Rows {
+		return store.Rows{Version: version, Rows: []store.Row{
+			{Table: "databases", Key: "a", Value: []byte(first), Version: version},
+			{Table: "databases", Key: "b", Value: []byte("ratings"), Version: 2},
+			{Table: "databases", Key: "c", Value: []byte(oddEntry), Version: 3},
+		}}
+	}
+	isConnectable := func() []bool { return []bool{f.isConnectable("a"), f.isConnectable("b"), f.isConnectable("c")} }
+	f.applyDatabaseRows(rows(4, "ratings"), true)
+	for range 3 {
+		f.applyDatabaseRows(rows(5, oddEntry), true)
+	}
+	if diff := cmp.Diff([]bool{true, true, false}, isConnectable()); diff != "" {
+		t.Error("within the grace: ", diff)
+	}
+	if diff := cmp.Diff(2, strings.Count(log.String(), "content-rejected")); diff != "" {
+		t.Error(diff, log.String())
+	}
+	// A row that is older than the odd one changes nothing.
+	f.applyDatabaseRows(rows(4, "ratings"), true)
+	f.directory.entries["a"].missingSince = f.directory.entries["a"].missingSince.Add(-2 * missingEntryGrace)
+	f.expireDatabases()
+	if diff := cmp.Diff([]bool{false, true, false}, isConnectable()); diff != "" {
+		t.Error("after the grace: ", diff)
+	}
+	f.applyDatabaseRows(rows(6, "ratings"), true)
+	if diff := cmp.Diff([]bool{true, true, false}, isConnectable()); diff != "" {
+		t.Error("when the database has written its entry again: ", diff)
+	}
+}
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -176,9 +176,11 @@
 }
 
 // testSchema decodes a configuration that consists of a version only, and
-// entries that consist of a group only.
+// entries that consist of a group only. The entry oddEntry can't be decoded.
 type testSchema struct{}
 
+const oddEntry = "odd"
+
 func (testSchema) ConfigurationTable() (table, key string) { return "configurations", "current" }
 func (testSchema) DatabaseTable() string                   { return "databases" }
 
@@ -191,6 +193,9 @@
 }
 
 func (testSchema) DecodeDatabase(id string, body []byte) (placement.Database, error) {
+	if string(body) == oddEntry {
+		return placement.Database{}, fmt.Errorf("entry %s", id)
+	}
 	return placement.Database{
 		ID: model.DatabaseID(id), Group: model.GroupID(body), Slots: 3, Address: netip.MustParseAddrPort("127.0.0.1:1"),
 	}, nil
