A lost holder of the coordinator lease is replaced before a failover needs it

When a zone was cut at 33.5 nobody held the lease; the first instance wrote its challenge at 34.8, began the failovers at 36.5, and the second of them met the claim of the first (412) and waited 600 ms more. Ruled out: detection (witnesses were there at 34.8); the revocation of the leases (0.9 s, as designed). An instance counts as settled, and need not wait for old leases to expire, only once its views have shown it as the holder for a lease's duration; before, a claim with an unknown outcome counted at once. While the lease is another's, failovers start one at a time. TestLostHolderIsReplaced is red without the change (not in time), TestNewHolderIsNotSettled covers the wait.

--- a/internal/node/fleet/coordinator.go
+++ b/internal/node/fleet/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -42,6 +43,10 @@
 	// failoverRetryDelay is how long this instance waits before it starts an
 	// unfinished failover again.
 	failoverRetryDelay = 500 * time.Millisecond
+	// lostHolderDelay is how long the holder of the coordinator lease must have been
+	// unavailable before another instance takes the lease without a failover being
+	// needed: longer than an instance takes to find its peers after its start.
+	lostHolderDelay = time.Second
 )
 
 // coordination is the state of the failovers that this instance carries out.
@@ -53,6 +58,13 @@
 	// instance's challenge, which was written at challengedAt.
 	challengeVersion uint64
 	challengedAt     time.Time
+	// lostHolder is the holder of the coordinator lease that has been unavailable
+	// since holderLostAt.
+	lostHolder   model.InstanceID
+	holderLostAt time.Time
+	// holderSince is the time since boot, in nanoseconds, at which a view first showed
+	// this instance as the holder of the coordinator lease; zero if it is not.
+	holderSince atomic.Int64
 }
 
 // startFailovers starts the failovers that are needed, if this instance is the
@@ -62,7 +74,9 @@
 	if f.leaving.Load() || !f.Leases.IsConfirmed(clock.Now()) {
 		return
 	}
+	f.recordHolder(view.CoordinatorLease)
 	f.clearChallenge(ctx, view.CoordinatorLease)
+	f.replaceLostHolder(ctx, view.CoordinatorLease)
 	for name, row := range view.Rows {
 		if ended, found := f.coordination.active[name]; found {
 			select {
@@ -87,6 +101,11 @@
 			defer close(ended)
 			f.failover(ctx, name, row, view.CoordinatorLease, reason)
 		}()
+		if view.CoordinatorLease.Holder != f.options.StartID {
+			// This failover takes the coordinator lease. The others would conflict
+			// with it; they start once the view shows the lease.
+			return
+		}
 	}
 }
 
--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -25,12 +25,13 @@
 		event.F("primary", row.Primary), event.F("reason", reason),
 		event.F("witnesses", evidence.Observers), event.F("silent", evidence.UnansweredObservers))
 	record := f.newRecord(name, row, reason, evidence)
+	wasHolder := f.isSettledHolder(coordinatorLease)
 	claimed, ok := f.claim(ctx, name, row, coordinatorLease, reason)
 	if !ok {
 		return
 	}
 	primaryStatus := f.queryPrimary(ctx, name, row.Primary)
-	f.awaitRevoked(ctx, name, claimed.Version, coordinatorLease.Holder == f.options.StartID)
+	f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
 	oldPosition := f.stepDown(ctx, name, primaryStatus)
 	if !oldPosition.IsZero() {
 		record.FencedDatabases = []engine.FencedDatabase{{
@@ -85,8 +86,8 @@
 
 // awaitRevoked waits until no instance uses the old primary and no earlier
 // coordinator acts any more. That is so once all views from before the claim
-// have expired or, if this instance held the coordinator lease already, all
-// members report that they have seen the claim.
+// have expired or, if this instance was the settled holder of the coordinator lease
+// already, all members report that they have seen the claim.
 func (f *Fleet) awaitRevoked(ctx context.Context, name model.GroupID, version uint64, wasHolder bool) {
 	startedAt := clock.Now()
 	for clock.Since(startedAt) < lease.Duration && ctx.Err() == nil {
@@ -151,10 +152,7 @@
 		Upserts: []store.Row{{Table: groupTable, Key: groupKey(name), Value: f.encode(&claimed)}},
 	}
 	if coordinatorLease.Holder != f.options.StartID {
-		ownLease := lease.CoordinatorLease{
-			Holder: f.options.StartID, HolderName: f.options.InstanceName,
-			FencingToken: coordinatorLease.FencingToken + 1,
-		}
+		ownLease := f.ownLease(coordinatorLease)
 		tx.Upserts = append(tx.Upserts,
 			store.Row{Table: groupTable, Key: coordinatorLeaseKey, Value: f.encode(&ownLease)})
 	}
--- a/internal/node/fleet/coordinator_lease.go
+++ b/internal/node/fleet/coordinator_lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
@@ -31,6 +32,59 @@
 	}
 }
 
+// replaceLostHolder takes the coordinator lease if its holder has been unavailable for
+// lostHolderDelay and this instance is the first of those that are available, so that
+// the next failover need not wait for that.
+func (f *Fleet) replaceLostHolder(ctx context.Context, held lease.CoordinatorLease) {
+	c := &f.coordination
+	isLost := held.Holder != "" && held.Holder != f.options.StartID && f.isFirst() &&
+		!f.isAvailable(held.Holder) && !f.isReportedAlive(held.Holder)
+	switch {
+	case !isLost:
+		c.lostHolder = ""
+		return
+	case c.lostHolder != held.Holder:
+		c.lostHolder, c.holderLostAt = held.Holder, clock.Now()
+		return
+	case clock.Since(c.holderLostAt) < lostHolderDelay:
+		return
+	case !f.isMajorityAlive() && !f.hasChallenged(ctx, held):
+		return
+	}
+	c.holderLostAt = clock.Now()
+	updated := f.ownLease(held)
+	updated.Version = held.Version
+	// If the write fails, or if its outcome is unknown, the next view decides.
+	_, _ = f.writeCoordinatorLease(ctx, updated)
+}
+
+// ownLease returns the coordinator lease with which this instance replaces the holder.
+func (f *Fleet) ownLease(held lease.CoordinatorLease) lease.CoordinatorLease {
+	return lease.CoordinatorLease{
+		Holder: f.options.StartID, HolderName: f.options.InstanceName, FencingToken: held.FencingToken + 1,
+	}
+}
+
+// recordHolder records since when this instance has been the holder of the coordinator
+// lease, as far as its views show it: a write with an unknown outcome may have taken
+// effect at any time.
+func (f *Fleet) recordHolder(held lease.CoordinatorLease) {
+	c := &f.coordination
+	switch {
+	case held.Holder != f.options.StartID:
+		c.holderSince.Store(0)
+	case c.holderSince.Load() == 0:
+		c.holderSince.Store(int64(sinceBoot(clock.Now())))
+	}
+}
+
+// isSettledHolder reports whether this instance has held the coordinator lease for so
+// long that an earlier holder no longer acts: all views that show it have expired.
+func (f *Fleet) isSettledHolder(held lease.CoordinatorLease) bool {
+	since := time.Duration(f.coordination.holderSince.Load())
+	return held.Holder == f.options.StartID && since != 0 && sinceBoot(clock.Now())-since >= lease.Duration
+}
+
 // hasChallenged reports whether this instance's challenge of the holder has
 // stood for longer than challengeWait. It writes a challenge if there is none.
 func (f *Fleet) hasChallenged(ctx context.Context, held lease.CoordinatorLease) bool {
--- a/internal/node/fleet/coordinator_test.go
+++ b/internal/node/fleet/coordinator_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -47,3 +49,58 @@
 		t.Errorf("the instance itself, without and with the store: %s", diff)
 	}
 }
+
+// When the holder of the coordinator lease is lost, another instance must take the
+// lease before a failover needs it. If no majority of the instances is alive, the
+// holder is challenged first, and one that reads the store keeps the lease.
+func TestLostHolderIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		partitioned []model.InstanceID
+		want        string
+	}{
+		"the holder is lost":                       {[]model.InstanceID{"i1"}, "i2 with token 5"},
+		"the holder is lost with a majority":       {[]model.InstanceID{"i1", "i4", "i5"}, "i1 with token 4"},
+		"another instance is lost, not the holder": {[]model.InstanceID{"i5"}, "i1 with token 4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tf := newTestFleets(t, 5)
+			observer := tf.fleets[1]
+			tf.store.put(groupTable, coordinatorLeaseKey, string(observer.encode(&lease.CoordinatorLease{Holder: "i1", FencingToken: 4})))
+			tf.store.put(groupTable, groupPrefix+"ratings", string(observer.encode(&lease.GroupRow{Epoch: 1, Primary: "a"})))
+			holder := func() string {
+				held := observer.Leases.View().CoordinatorLease
+				return fmt.Sprintf("%s with token %d", held.Holder, held.FencingToken)
+			}
+			for _, f := range tf.fleets {
+				eventually(t, "the holder", func() bool { return f.Leases.View().CoordinatorLease.Holder == "i1" })
+			}
+			for _, id := range c.partitioned {
+				tf.hub.setPartitioned(id, true)
+			}
+			time.Sleep(aliveTimeout + lostHolderDelay + challengeWait)
+			eventually(t, c.want+", not "+holder(), func() bool { return holder() == c.want })
+			time.Sleep(lostHolderDelay)
+			if diff := cmp.Diff(c.want, holder()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// An instance that has just become the holder must wait for the leases to expire, since
+// the earlier holder may still act.
+func TestNewHolderIsNotSettled(t *testing.T) {
+	f := newUnstartedFleet(1, 3)
+	own := lease.CoordinatorLease{Holder: f.options.StartID}
+	settled := func(held lease.CoordinatorLease) bool {
+		f.recordHolder(held)
+		return f.isSettledHolder(held)
+	}
+	got := []bool{settled(lease.CoordinatorLease{Holder: "z1-2"}), settled(own)}
+	time.Sleep(lease.Duration)
+	got = append(got, settled(own), settled(lease.CoordinatorLease{Holder: "z1-2"}), settled(own))
+	if diff := cmp.Diff([]bool{false, false, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
