Only the table of groups shows whether an instance reaches the store

Ruled out: silent connections (a request on a new connection timed out as well); back-off (its maximum is 0.5 s). Change: calls about other tables no longer set the flag. TestOtherTablesDoNotShowThatGroupsAreReachable was red before.

--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -120,7 +120,8 @@
 	probing      sync.Map
 	coordination coordination
 	leaving      atomic.Bool
-	// storeReachable is set if the store has answered the last call.
+	// storeReachable is set if the store has answered the last call about the table of
+	// groups.
 	storeReachable atomic.Bool
 	ready          atomic.Bool
 	// running counts the goroutines of the fleet.
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -232,8 +232,10 @@
 	return err == nil
 }
 
-// recordStoreOutcome records whether the store has answered a call. A conflict
-// and a compacted history are answers as well.
+// recordStoreOutcome records whether the store has answered a call about the table of
+// groups. A conflict and a compacted history are answers as well. Calls about other
+// tables do not count: a store that is partly unavailable may serve those only, and an
+// instance that can't read the groups must not count as one that reaches the store.
 func (f *Fleet) recordStoreOutcome(err error) {
 	outcome := store.OutcomeOf(err)
 	f.storeReachable.Store(err == nil || outcome == store.OutcomeConflict || outcome == store.OutcomeCompacted)
--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -118,9 +118,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
 	defer cancel()
-	rows, err := f.options.Store.Watch(ctx, table, version, watchWait)
-	f.recordStoreOutcome(err)
-	return rows, err
+	return f.options.Store.Watch(ctx, table, version, watchWait)
 }
 
 // readTable reads all rows of a table.
@@ -129,7 +127,6 @@
 	defer cancel()
 	rows, err := f.options.Store.Read(ctx, table)
 	f.readTimeouts.record(table, ctx.Err() != nil)
-	f.recordStoreOutcome(err)
 	return rows, err
 }
 
--- a/internal/node/fleet/watch_test.go
+++ b/internal/node/fleet/watch_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 )
 
@@ -73,3 +76,29 @@
 		eventually(t, "the database to be gone", func() bool { return !f.isConnectable("a") })
 	}
 }
+
+// A store that is partly unavailable answers about the other tables but not about the
+// groups. An instance that can't read the groups must not count as one that reaches the
+// store: otherwise the instances take turns as the first, and each waits as one that is
+// not before it reads the groups again.
+func TestOtherTablesDoNotShowThatGroupsAreReachable(t *testing.T) {
+	f := newUnstartedFleet(1, 3)
+	memory := f.options.Store.(*memoryStore)
+	memory.put("configurations", "current", "3")
+	memory.setUnanswered(groupTable)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := f.readGroups(ctx); err == nil {
+		t.Fatal("the table of groups was read")
+	}
+	_, readErr := f.readOrWatch(t.Context(), "configurations", 0, true)
+	_, watchErr := f.readOrWatch(t.Context(), "configurations", 0, false)
+	reachable := []bool{readErr == nil, watchErr == nil, f.storeReachable.Load()}
+	memory.setUnanswered("")
+	if err := f.readGroups(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]bool{true, true, false, true}, append(reachable, f.storeReachable.Load())); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -43,6 +43,8 @@
 	changed chan struct{}
 	calls   int
 	isDown  bool
+	// unansweredTable is a table whose reads get no answer.
+	unansweredTable string
 }
 
 func newMemoryStore() *memoryStore {
@@ -87,6 +89,13 @@
 	s.isDown = isDown
 }
 
+// setUnanswered sets the table whose reads get no answer.
+func (s *memoryStore) setUnanswered(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unansweredTable = table
+}
+
 // startCall counts a call and returns an error if the store is down.
 func (s *memoryStore) startCall() error {
 	s.calls++
@@ -97,9 +106,15 @@
 }
 
 // Read implements store.Store.
-func (s *memoryStore) Read(_ context.Context, table string) (store.Rows, error) {
+func (s *memoryStore) Read(ctx context.Context, table string) (store.Rows, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if table == s.unansweredTable {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return store.Rows{}, &store.Error{Outcome: store.OutcomeUnknown, Cause: ctx.Err()}
+	}
 	if err := s.startCall(); err != nil {
 		return store.Rows{}, err
 	}
