Probes of idle primaries give position samples; retries at a primary back off

Change: the answer to a probe of an idle primary is a sample once the primary is confirmed. The pause before a retry doubles, with jitter, and there are six attempts.

--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -12,13 +13,14 @@
 
 const (
 	// maxAttempts bounds the attempts for one statement.
-	maxAttempts = 5
+	maxAttempts = 6
 	// firstAttemptShare is the part of a read's remaining time after which its first
 	// attempt times out and another database is tried, because the answer may have
 	// been lost. Even the slowest statements take less than this part of their time.
 	firstAttemptShare = 0.35
-	// retryDelay is the delay before a statement is sent again that needs the
-	// primary and was not executed.
+	// retryDelay is the mean delay before a statement that needs the primary and was
+	// not executed is sent again for the first time. It doubles with each attempt: a
+	// primary that sheds statements must not be sent the same ones over and over.
 	retryDelay = 20 * time.Millisecond
 )
 
@@ -53,7 +55,7 @@
 		}
 		if requirements.RequiresPrimary {
 			s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
-			time.Sleep(retryDelay)
+			time.Sleep(retryPause(req.attempts))
 		}
 	}
 }
@@ -63,6 +65,14 @@
 	return !req.rejected && req.attempts < maxAttempts && !s.server.options.PrimaryConfirmer.IsPartitioned(req.route.Group) && clock.Since(req.arrivedAt) < time.Duration(queueShare*float64(req.route.Timeout))
 }
 
+// retryPause returns the delay before an attempt, after the given number of attempts:
+// from half to one and a half times the mean, so that statements that were shed together
+// do not return together.
+func retryPause(attempts int) time.Duration {
+	mean := retryDelay << max(0, attempts-1)
+	return mean/2 + rand.N(mean)
+}
+
 // notExecuted returns the failure for a statement that was not executed. Its code is
 // always busy, because the caller may retry whatever the database's own code is.
 func notExecuted(failure *statement.FailureError) *statement.FailureError {
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -109,7 +109,7 @@
 		}
 		if requirements.RequiresPrimary {
 			s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
-			time.Sleep(retryDelay)
+			time.Sleep(retryPause(req.attempts))
 		}
 	}
 }
--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
@@ -156,17 +157,38 @@
 // not answer on a pooled connection, it is queried on a new connection: the
 // pooled ones may have become unresponsive by themselves, as connections do
 // that a partition has interrupted.
+//
+// The answer of a confirmed primary is a position sample: without one, after a time
+// without statements, the first reads of all instances would go to the primary.
 func (f *Fleet) probe(ctx context.Context, d placement.Database) {
+	grant, _ := f.Leases.Grant(d.Group)
 	isSuspected := f.Scheduler.IsSuspected(d.ID)
+	var status statement.ServerStatus
 	var err error
+	sentAt := clock.Now()
 	if !isSuspected {
-		_, err = f.sendControl(ctx, d, statement.QueryStatus{})
+		status, err = f.sendControl(ctx, d, statement.QueryStatus{})
 	}
 	if isSuspected || err != nil && !isAnswer(err) {
 		f.Pool.CloseIdle(d.ID)
-		_, err = f.sendControl(ctx, d, statement.QueryStatus{})
+		sentAt = clock.Now()
+		status, err = f.sendControl(ctx, d, statement.QueryStatus{})
 	}
 	f.Scheduler.RecordProbe(d.ID, err == nil || isAnswer(err))
+	if err == nil && grant.Primary == d.ID && status.Role == model.RolePrimary {
+		f.samplePrimary(ctx, grant, sentAt, status.ReceivedPosition)
+	}
+}
+
+// samplePrimary adds a position sample if the database that reported the position is
+// confirmed to have been the primary at that time.
+func (f *Fleet) samplePrimary(ctx context.Context, grant lease.Grant, sentAt time.Time, position model.Position) {
+	ctx, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	answeredAt := clock.Now()
+	if validity := f.Leases.AwaitValidity(grant, answeredAt, ctx.Done()); validity == lease.ValidityConfirmed {
+		f.SamplesOf(grant.Group).AddSpaced(fresh.PositionSample{At: sentAt, Position: position})
+	}
 }
 
 // isAnswer reports whether an error shows that the database itself has
