--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -14,6 +14,11 @@
 	// has gone missing: entries that expire while the store is unavailable are
 	// written again within two seconds of its return.
 	missingEntryGrace = 2500 * time.Millisecond
+	// maxRejected is the number of invalid entries that are remembered, so that each
+	// is logged once; maxRejectedLines is how many invalid parts of a configuration
+	// are logged.
+	maxRejected      = 1000
+	maxRejectedLines = 20
 	// routeConfirmTimeout bounds the read of the store for a name without a
 	// route; a caller waits two seconds for an answer.
 	routeConfirmTimeout = 1200 * time.Millisecond
@@ -47,12 +52,15 @@
 	// confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
+	// rejected holds the version of each entry that could not be decoded.
+	rejected map[string]uint64
 	// configurationBody is the configuration in force, encoded as the operator
 	// wrote it.
 	configurationBody []byte
 	// publishedInstances is the number of instances that was last passed to the
-	// scheduler.
+	// scheduler, publishedMembers the version of the members at that time.
 	publishedInstances int
+	publishedMembers   uint64
 	// listed is the store's version of the list of databases.
 	listed uint64
 	// configurationRequest and databasesRequest are the last requests to peers.
@@ -96,5 +104,5 @@
 }
 
 func newDirectory() directory {
-	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}}
+	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}, rejected: map[string]uint64{}}
 }
