Instances that start do not all watch the store

Change: no watch in the first 600 ms after the start; the first read is not delayed. Figures: TestOneInstanceWatchesAfterStart (red before: a watch of each instance and table).

--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -35,6 +35,10 @@
 	// instance. It may exceed maxBackoff, since the first instance reports when
 	// the store is back.
 	fallbackRetryPause = 1500 * time.Millisecond
+	// firstWatchDelay is the time after the start of an instance before which it does
+	// not watch: until it knows its peers it takes itself for the first, and the
+	// instances of a fleet that starts would all watch the store.
+	firstWatchDelay = 600 * time.Millisecond
 	// writeTimeout bounds a write to the store.
 	writeTimeout = time.Second
 	// initialBackoff and maxBackoff bound the pause after a failed call.
@@ -70,6 +74,10 @@
 				continue
 			}
 		}
+		if remaining := firstWatchDelay - clock.Since(f.startedAt); !readAll && remaining > 0 {
+			sleep(ctx, remaining)
+			continue
+		}
 		rows, err := f.readOrWatch(ctx, table, version, readAll)
 		if err == nil {
 			if !lostAt.IsZero() {
--- a/internal/node/fleet/watch_test.go
+++ b/internal/node/fleet/watch_test.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// All instances start at once. Until they know each other each takes itself for the
+// first, but only one may watch the store.
+func TestOneInstanceWatchesAfterStart(t *testing.T) {
+	const instances = 12
+	tf := newTestFleets(t, instances)
+	time.Sleep(firstWatchDelay / 2)
+	if watches := tf.store.watchCount(); watches != 0 {
+		t.Errorf("%d watches before the instances know each other", watches)
+	}
+	eventually(t, "a watch", func() bool { return tf.store.watchCount() > 0 })
+	time.Sleep(watchWait / 2)
+	// The first instance watches two tables.
+	if watches := tf.store.watchCount(); watches > 4 {
+		t.Errorf("%d watches of %d instances", watches, instances)
+	}
+}
+
 // A new configuration must reach all instances even if some are partitioned or
 // the store fails for a while.
 func TestConfigurationReachesAll(t *testing.T) {
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -42,6 +42,7 @@
 	rows    map[string]store.Row
 	changed chan struct{}
 	calls   int
+	watches int
 	isDown  bool
 	// unansweredTable is a table whose reads get no answer.
 	unansweredTable string
@@ -89,6 +90,13 @@
 	s.isDown = isDown
 }
 
+// watchCount returns the number of watches so far.
+func (s *memoryStore) watchCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 // setUnanswered sets the table whose reads get no answer.
 func (s *memoryStore) setUnanswered(table string) {
 	s.mu.Lock()
@@ -143,6 +151,7 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.watches++
 	if err := s.startCall(); err != nil {
 		return store.Rows{}, err
 	}
