Observers are computed once for each version of the members; fewer polls

Cause (read from the code, wake-ups counted): each instance asked ten times a second for each idle primary whether it observes it, which hashes all members (295 members, 20 groups: some 50,000 hashes a second and instance), and two watchers polled ten times a second each for a change of the first instance. Change: the result is cached by the members' version; a watcher that does not watch sleeps until its fallback is due, 400 ms at most. Figures: TestObserversFollowMembers (allocations and the change of members).

--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -147,10 +148,30 @@
 	}
 }
 
+// observedGroups caches, for a version of the members, whether this instance is an
+// observer of a group: that takes a hash of each member, and is asked for each idle
+// primary several times a second.
+type observedGroups struct {
+	mu      sync.Mutex
+	version uint64
+	byGroup map[model.GroupID]bool
+}
+
 // isObserver reports whether this instance probes a group's primary although it
 // has no work for it.
 func (f *Fleet) isObserver(name model.GroupID) bool {
-	return model.RendezvousRank(f.options.InstanceName, f.memberNames(), name) < observersPerGroup
+	c := &f.observed
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version := f.membersVersion(); c.byGroup == nil || c.version != version {
+		c.version, c.byGroup = version, map[model.GroupID]bool{}
+	}
+	result, found := c.byGroup[name]
+	if !found {
+		result = model.RendezvousRank(f.options.InstanceName, f.memberNames(), name) < observersPerGroup
+		c.byGroup[name] = result
+	}
+	return result
 }
 
 // probe queries the status of a primary. If the primary is suspected, or does
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -118,6 +118,7 @@
 	readTimeouts readTimeouts
 	// probing holds the primaries that are being probed.
 	probing      sync.Map
+	observed     observedGroups
 	coordination coordination
 	leaving      atomic.Bool
 	// storeReachable is set if the store has answered the last call about the table of
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -243,3 +243,25 @@
 		t.Error(diff)
 	}
 }
+
+// Whether an instance observes a group must not be computed from all members each time
+// it is asked, several times a second for each group, but must follow the members.
+func TestObserversFollowMembers(t *testing.T) {
+	f := newUnstartedFleet(5, 9)
+	observed := func() (count int) {
+		for i := range 200 {
+			if f.isObserver(model.GroupID(fmt.Sprintf("group-%d", i))) {
+				count++
+			}
+		}
+		return count
+	}
+	many := observed()
+	if allocations := testing.AllocsPerRun(100, func() { f.isObserver("group-1") }); allocations > 0 {
+		t.Errorf("%v allocations for a group that was asked before", allocations)
+	}
+	f.updateMembers(map[model.InstanceID]member{"z1-1": {}, f.options.InstanceName: {}}, 1<<40)
+	if few := observed(); many >= 200 || few != 200 {
+		t.Errorf("an observer of %d groups among many members and of %d among two, of 200", many, few)
+	}
+}
--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -29,8 +29,12 @@
 	// the duration of a watch, the interval until the next gossip, and the time
 	// of that gossip on its way.
 	fallbackReadAge = watchWait + gossipInterval + 100*time.Millisecond
-	// fallbackCheckInterval is the time between two checks of that age.
-	fallbackCheckInterval = 100 * time.Millisecond
+	// fallbackCheckInterval is the maximum time between two checks of that age and of
+	// which instance is the first: an instance that becomes the first watches the store
+	// within this time.
+	fallbackCheckInterval = 400 * time.Millisecond
+	// minFallbackCheckInterval is the minimum time between two checks.
+	minFallbackCheckInterval = 20 * time.Millisecond
 	// fallbackRetryPause is the minimum pause after a failed call of such an
 	// instance. It may exceed maxBackoff, since the first instance reports when
 	// the store is back.
@@ -69,8 +73,8 @@
 	for ctx.Err() == nil {
 		if !f.isFirst() {
 			readAll = true
-			if clock.Since(confirmedAt()) < fallbackReadAge {
-				sleep(ctx, fallbackCheckInterval)
+			if remaining := fallbackReadAge - clock.Since(confirmedAt()); remaining > 0 {
+				sleep(ctx, min(max(remaining, minFallbackCheckInterval), fallbackCheckInterval))
 				continue
 			}
 		}
