A new connection to a database no longer loses its first answer on a slow machine

Cause of TestAnswersNeverMixed and TestCommitAcknowledgedAfterLoss (a read that waits for 20 s): pgconn reads in the background once a write has taken 15 ms. The pool took the connection over while that reader still ran, and it took the first bytes that the database sent. Seen with stacks and counters at the hang: the database had executed the statement, the connection was new, its reader had read nothing, both ends waited. Ruled out: the frame reader, the count of setup queries, the watch of the caller, the fake database (all its connections idle, nothing skipped). Change: SyncConn before Hijack, as pgconn asks for; Pool.dial, so that a test can be slow. Conclusion: a fault of the product: a caller waited until its deadline although its statement had run.

--- a/internal/edge/database/open.go
+++ b/internal/edge/database/open.go
@@ -43,12 +43,18 @@
 	config.TLSConfig = p.options.TLS
 	config.Fallbacks = nil
 	config.RuntimeParams = parameters
-	config.DialFunc = socket.Dial
+	config.DialFunc = p.dial
 	config.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	pgConn, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, err
 	}
+	// If a write took long, pgconn may still read in the background, and would take
+	// the first bytes that the database sends from the new owner of the connection.
+	if err := pgConn.SyncConn(ctx); err != nil {
+		_ = pgConn.Conn().Close()
+		return nil, err
+	}
 	return pgConn.Hijack()
 }
 
--- a/internal/edge/database/pool.go
+++ b/internal/edge/database/pool.go
@@ -36,9 +36,11 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 )
 
 const (
@@ -77,6 +79,7 @@
 type Pool struct {
 	options PoolOptions
 	log     logr.Logger
+	dial    pgconn.DialFunc
 
 	mu       sync.Mutex
 	subpools map[model.DatabaseID]*subpool
@@ -87,7 +90,7 @@
 	if options.MaxMessageBytes == 0 {
 		options.MaxMessageBytes = defaultMaxMessageBytes
 	}
-	return &Pool{options: options, log: log, subpools: map[model.DatabaseID]*subpool{}}
+	return &Pool{options: options, log: log, dial: socket.Dial, subpools: map[model.DatabaseID]*subpool{}}
 }
 
 // Start starts a goroutine that closes connections that are idle for longer than
--- a/internal/edge/database/pool_test.go
+++ b/internal/edge/database/pool_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 )
 
 // testServer implements the part of the database protocol that the pool uses: the
@@ -333,3 +334,30 @@
 	pool.Release(first)
 	pool.Release(second)
 }
+
+// slowConn is a connection whose first writes take long, as on a busy machine.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(b []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return c.Conn.Write(b)
+}
+
+// While a write takes long, pgconn reads in the background. It must have stopped when
+// the pool hands the connection out: otherwise it takes the first answer, and the
+// holder waits for it until its deadline.
+func TestFirstAnswerAfterSlowStartup(t *testing.T) {
+	s := newTestServer(t)
+	pool := newPool(t, s)
+	pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := socket.Dial(ctx, network, address)
+		return slowConn{conn}, err
+	}
+	for range 5 {
+		conn := acquire(t, pool)
+		if !conn.answersEmptyQuery(2 * time.Second) {
+			t.Error("the answer to the first query did not arrive")
+		}
+		pool.Discard(conn)
+	}
+}
