A silent store makes one instance read it, not all

Change: a read of the groups that is not answered after 150 ms (an answer takes 4 ms) makes the instance count as one that does not reach the store, and it says so at once; the next one takes its place.

--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -44,6 +44,11 @@
 	// fallbackRenewAge is the age at which an instance that has received no
 	// newer view reads the table itself. It leaves time for one more try.
 	fallbackRenewAge = 680 * time.Millisecond
+	// slowReadAge is the time without an answer to a read of the table after which this
+	// instance no longer counts as one that reaches the store. Another becomes the
+	// first and reads the table before the views of all instances grow so old that
+	// each reads it itself.
+	slowReadAge = 150 * time.Millisecond
 	// renewTimeout bounds a read of the table.
 	renewTimeout = 600 * time.Millisecond
 	// minRenewInterval is the minimum time between two reads.
@@ -176,7 +181,9 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	startedAt := clock.Now()
+	suspicion := time.AfterFunc(slowReadAge, f.suspectStore)
 	rows, err := f.options.Store.Read(ctx, groupTable)
+	suspicion.Stop()
 	f.recordStoreOutcome(err)
 	if err != nil {
 		return err
@@ -241,6 +248,14 @@
 	f.storeReachable.Store(err == nil || outcome == store.OutcomeConflict || outcome == store.OutcomeCompacted)
 }
 
+// suspectStore records that the store has not answered for slowReadAge, and tells the
+// peers at once.
+func (f *Fleet) suspectStore() {
+	if f.storeReachable.CompareAndSwap(true, false) {
+		f.broadcast()
+	}
+}
+
 // updateView updates the view of the table of groups. If the row of a group has
 // changed, it reschedules the waiting statements and sends gossip at once.
 func (f *Fleet) updateView(view lease.View, source string) {
--- a/internal/node/fleet/watch_test.go
+++ b/internal/node/fleet/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +60,35 @@
 	}
 }
 
+// The store falls silent for the first instance only. Another one must take its place
+// before the others read the store themselves, and no view may expire meanwhile.
+func TestSilentStoreOfFirstInstance(t *testing.T) {
+	const instances = 12
+	tf := newTestFleets(t, instances)
+	eventually(t, "all instances to be members", func() bool {
+		return !slices.ContainsFunc(tf.fleets, func(f *Fleet) bool { return !f.isMember() })
+	})
+	time.Sleep(time.Second)
+	before := tf.store.callCount()
+	tf.stores[0].silent.Store(true)
+	const span = 4 * time.Second
+	unconfirmed := 0
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !tf.fleets[instances-1].Leases.IsConfirmed(clock.Now()) {
+			unconfirmed++
+		}
+	}
+	// The new first instance reads the groups each renewAge and starts two watches with
+	// a read; a few more may read the groups while the first is replaced.
+	maxCalls := int(span/renewAge) + 2*(int(span/watchWait)+2) + instances/2
+	if calls := tf.store.callCount() - before; calls > maxCalls {
+		t.Errorf("%d calls of %d instances, want %d at most", calls, instances, maxCalls)
+	}
+	if unconfirmed > 0 {
+		t.Errorf("no primary could be confirmed in %d of %d checks", unconfirmed, span/(10*time.Millisecond))
+	}
+}
+
 // A new configuration must reach all instances even if some are partitioned or
 // the store fails for a while.
 func TestConfigurationReachesAll(t *testing.T) {
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,32 @@
 	return &memoryStore{rows: map[string]store.Row{}, changed: make(chan struct{})}
 }
 
+// instanceStore is a memoryStore as one instance reaches it.
+type instanceStore struct {
+	*memoryStore
+	// silent is set while the instance gets no answers.
+	silent atomic.Bool
+}
+
+// Read implements store.Store.
+func (s *instanceStore) Read(ctx context.Context, table string) (store.Rows, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return store.Rows{}, &store.Error{Outcome: store.OutcomeUnknown, Cause: ctx.Err()}
+	}
+	return s.memoryStore.Read(ctx, table)
+}
+
+// Watch implements store.Store.
+func (s *instanceStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Rows, error) {
+	rows, err := s.memoryStore.Watch(ctx, table, after, wait)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return store.Rows{}, &store.Error{Outcome: store.OutcomeUnknown, Cause: ctx.Err()}
+	}
+	return rows, err
+}
+
 // put writes a row, in place of the operator or a database.
 func (s *memoryStore) put(table, key, value string) {
 	s.mu.Lock()
@@ -297,7 +324,9 @@
 
 // testFleets is the Fleet of each instance of one fleet, with their common store.
 type testFleets struct {
-	store  *memoryStore
+	store *memoryStore
+	// stores are the stores as the fleets reach them, in the same order.
+	stores []*instanceStore
 	hub    *hub
 	fleets []*Fleet
 }
@@ -316,8 +345,10 @@
 	var ends []<-chan error
 	for i := range instances {
 		name := model.InstanceID(fmt.Sprintf("i%d", i+1))
+		reached := &instanceStore{memoryStore: tf.store}
+		tf.stores = append(tf.stores, reached)
 		f := New(Options{
-			StartID: name, InstanceName: name, Zone: "lanier", ExpectedInstances: instances, Store: tf.store,
+			StartID: name, InstanceName: name, Zone: "lanier", ExpectedInstances: instances, Store: reached,
 			PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)),
 			Schema:      testSchema{}, MaxConfigurationAge: time.Second,
 			Log: eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
