--- a/internal/node/fleet/watch.go
+++ b/internal/node/fleet/watch.go
@@ -29,12 +29,20 @@
 	// the duration of a watch, the interval until the next gossip, and the time
 	// of that gossip on its way.
 	fallbackReadAge = watchWait + gossipInterval + 100*time.Millisecond
-	// fallbackCheckInterval is the time between two checks of that age.
-	fallbackCheckInterval = 100 * time.Millisecond
+	// fallbackCheckInterval is the maximum time between two checks of that age and of
+	// which instance is the first: an instance that becomes the first watches the store
+	// within this time.
+	fallbackCheckInterval = 400 * time.Millisecond
+	// minFallbackCheckInterval is the minimum time between two checks.
+	minFallbackCheckInterval = 20 * time.Millisecond
 	// fallbackRetryPause is the minimum pause after a failed call of such an
 	// instance. It may exceed maxBackoff, since the first instance reports when
 	// the store is back.
 	fallbackRetryPause = 1500 * time.Millisecond
+	// firstWatchDelay is the time after the start of an instance before which it does
+	// not watch: until it knows its peers it takes itself for the first, and the
+	// instances of a fleet that starts would all watch the store.
+	firstWatchDelay = 600 * time.Millisecond
 	// writeTimeout bounds a write to the store.
 	writeTimeout = time.Second
 	// initialBackoff and maxBackoff bound the pause after a failed call.
@@ -65,11 +73,15 @@
 	for ctx.Err() == nil {
 		if !f.isFirst() {
 			readAll = true
-			if clock.Since(confirmedAt()) < fallbackReadAge {
-				sleep(ctx, fallbackCheckInterval)
+			if remaining := fallbackReadAge - clock.Since(confirmedAt()); remaining > 0 {
+				sleep(ctx, min(max(remaining, minFallbackCheckInterval), fallbackCheckInterval))
 				continue
 			}
 		}
+		if remaining := firstWatchDelay - clock.Since(f.startedAt); !readAll && remaining > 0 {
+			sleep(ctx, remaining)
+			continue
+		}
 		rows, err := f.readOrWatch(ctx, table, version, readAll)
 		if err == nil {
 			if !lostAt.IsZero() {
