Rejected connections are tried less often; keepalives only on quiet links

Change: the pause after a rejected connection doubles up to 0.8 s until an answer; a link that carries messages sends no keepalives; a member checks once a second that it is one. Figures: TestRejectedConnectionsAreTriedLessOften (red before: 100 ms each time).

--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -214,6 +214,27 @@
 	mustAcquire(t, s, requirements)
 }
 
+// Where many instances want one of few connections, an instance that is rejected again
+// and again must ask less often, and at once again after an answer.
+func TestRejectedConnectionsAreTriedLessOften(t *testing.T) {
+	db := &databaseState{}
+	now := time.Unix(1000, 0)
+	var delays []time.Duration
+	reject := func() {
+		db.recordResult(now, Result{Outcome: OutcomeConnectionLimit})
+		delays = append(delays, db.connectionLimitUntil.Sub(now))
+	}
+	for range 5 {
+		reject()
+	}
+	db.recordResult(now, Result{Outcome: OutcomeAnswered, Elapsed: time.Millisecond})
+	reject()
+	const first = connectionLimitBackoff
+	if diff := cmp.Diff([]time.Duration{first, 2 * first, 4 * first, 8 * first, 8 * first, first}, delays); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestFailureDuration(t *testing.T) {
 	s, leases := newFixture(t)
 	if diff := cmp.Diff(FailureDurationUnknown, s.FailureDuration(ratings)); diff != "" {
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -20,7 +20,11 @@
 	// connectionLimitBackoff is the time for which no more than
 	// observedConnectionLimit connections are used to a database that has rejected
 	// one for its connection limit: about as long as a statement holds a connection.
-	connectionLimitBackoff = 100 * time.Millisecond
+	// It doubles with each further rejection before an answer, up to
+	// maxConnectionLimitBackoff: where many instances want a connection, each must
+	// ask less often.
+	connectionLimitBackoff    = 100 * time.Millisecond
+	maxConnectionLimitBackoff = 800 * time.Millisecond
 	// unresponsiveAfter is the time after which a database with statements in flight
 	// and no answer gets no new statements. Statements of the slowest kind take less.
 	unresponsiveAfter = 500 * time.Millisecond
@@ -112,7 +116,9 @@
 	// observedConnectionLimit is the number of connections that were in use when the
 	// database rejected another one.
 	observedConnectionLimit int
-	failures                int
+	// connectionRejections counts the connections rejected since the last answer.
+	connectionRejections int
+	failures             int
 	// lastAnswerAt is the time of the last answer, unreachableSince that of the first
 	// failed attempt to connect after it. notPrimarySince is the time since which the
 	// database has rejected statements that only a primary executes.
@@ -141,7 +147,8 @@
 		db.answered(now)
 		db.recordLatency(now, max(result.Elapsed, 2*db.latency))
 	case OutcomeConnectionLimit:
-		db.connectionLimitUntil = now.Add(connectionLimitBackoff)
+		db.connectionRejections++
+		db.connectionLimitUntil = now.Add(db.connectionLimitDelay())
 		db.observedConnectionLimit = db.connectionsInUse - 1
 	case OutcomeUnreachable:
 		db.unansweredSince = time.Time{}
@@ -193,6 +200,7 @@
 func (db *databaseState) answered(now time.Time) {
 	db.lastAnswerAt = now
 	db.failures = 0
+	db.connectionRejections = 0
 	db.unreachableSince = time.Time{}
 	db.blockedUntil = time.Time{}
 	db.unansweredSince = time.Time{}
@@ -208,7 +216,7 @@
 	case OutcomeUnreachable:
 		return db.backoff()
 	case OutcomeConnectionLimit:
-		return connectionLimitBackoff
+		return db.connectionLimitDelay()
 	case OutcomeAnswered, OutcomeWritten, OutcomeNotPrimary, OutcomeBehind, OutcomeBusy, OutcomeConnectionLost, OutcomeNotSent:
 	}
 	return 0
@@ -221,6 +229,13 @@
 	return min(initialUnreachableBackoff<<min(max(db.failures-1, 0), doublings), maxUnreachableBackoff)
 }
 
+// connectionLimitDelay returns the time for which no further connection is opened, by
+// the number of rejections since the last answer.
+func (db *databaseState) connectionLimitDelay() time.Duration {
+	const doublings = 3
+	return min(connectionLimitBackoff<<min(max(db.connectionRejections-1, 0), doublings), maxConnectionLimitBackoff)
+}
+
 // recordLatency updates the average latency.
 func (db *databaseState) recordLatency(now time.Time, elapsed time.Duration) {
 	if db.latency == 0 {
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// write sends queued messages, and a keepalive at each interval, until the link is
-// closed or a write fails or times out.
+// write sends queued messages, and a keepalive in each interval without a message, until
+// the link is closed or a write fails or times out.
 func (l *link) write(options Options) error {
 	buffered := bufio.NewWriter(l.conn)
 	ticker := time.NewTicker(options.KeepaliveInterval)
@@ -117,6 +117,7 @@
 		case <-l.closed:
 			return &LinkClosedError{}
 		case <-l.queue.wake:
+			ticker.Reset(options.KeepaliveInterval)
 		case <-ticker.C:
 			content = []byte{keepaliveNumber}
 		}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -24,6 +24,9 @@
 	// a dead instance open for three seconds, and a restarted instance is back
 	// within shareRetention.
 	shareRetention = 15 * time.Second
+	// memberCheckInterval is the time between two checks whether this instance is still
+	// among the members.
+	memberCheckInterval = time.Second
 	// memberExpiry is the time without a message after which a member's row is
 	// deleted.
 	memberExpiry = 10 * time.Minute
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -18,7 +18,7 @@
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		if f.leaving.Load() || f.isMember() {
-			sleep(ctx, tickInterval)
+			sleep(ctx, memberCheckInterval)
 			continue
 		}
 		_, err := f.write(ctx, store.Transaction{Upserts: []store.Row{{
