--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -90,6 +90,11 @@
 
 	mu       sync.Mutex
 	sessions map[*session]*record
+	// starting holds the connections that have not completed the startup.
+	starting map[net.Conn]bool
+	// closed is set once all connections have been closed, and no further one may be
+	// served.
+	closed bool
 	// draining is set once sessions are closed whenever they are idle.
 	draining bool
 }
@@ -119,7 +124,7 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(options Options) *Server {
-	return &Server{options: options, sessions: map[*session]*record{}}
+	return &Server{options: options, sessions: map[*session]*record{}, starting: map[net.Conn]bool{}}
 }
 
 // Start listens until ctx ends. The channel receives a value once the server and
@@ -180,6 +185,10 @@
 // serve serves one caller from its startup message to the end of its connection.
 func (s *Server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if !s.addStarting(conn) {
+		return
+	}
+	defer s.removeStarting(conn)
 	ses := &session{server: s, conn: conn, codec: s.options.Protocol.NewCodec(conn)}
 	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	startup, err := ses.codec.ReadStartup()
@@ -201,11 +210,30 @@
 	if ses.codec.WriteReady() != nil {
 		return
 	}
+	s.removeStarting(conn)
 	defer ses.cleanUp()
 	for ses.serveRequest() {
 	}
 }
 
+// addStarting records a connection that has not completed the startup. It reports false
+// if the server has ended.
+func (s *Server) addStarting(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.starting[conn] = true
+	return true
+}
+
+func (s *Server) removeStarting(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, conn)
+}
+
 // serveRequest serves one request and reports whether the session continues.
 func (ses *session) serveRequest() bool {
 	if !ses.awaitRequest() {
@@ -260,7 +288,7 @@
 func (s *Server) startWaiting(ses *session, limit time.Duration, isLimited bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining && ses.transaction == nil {
+	if s.closed || s.draining && ses.transaction == nil {
 		return false
 	}
 	deadline := time.Time{}
@@ -329,13 +357,17 @@
 	return len(s.sessions)
 }
 
-// closeAll closes all sessions.
+// closeAll closes all sessions, and the connections that have not completed the startup.
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for ses := range s.sessions {
 		_ = ses.conn.Close()
 	}
+	for conn := range s.starting {
+		_ = conn.Close()
+	}
 }
 
 // ListenError reports that the server could not listen on an address.
--- /dev/null
+++ b/internal/edge/session/server_test.go
@@ -0,0 +1,197 @@
+package session
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
+)
+
+// lineProtocol is a protocol of lines: the first one names the route, and each further
+// one is a read. An answer is the code of its failure, or "ok".
+type lineProtocol struct{}
+
+func (lineProtocol) NewCodec(conn net.Conn) Codec {
+	return &lineCodec{conn: conn, reader: bufio.NewReader(conn)}
+}
+
+type lineCodec struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (c *lineCodec) AwaitRequest() error {
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+func (c *lineCodec) ReadStartup() (StartupMessage, error) {
+	line, err := c.reader.ReadString('\n')
+	return StartupMessage{RouteName: line}, err
+}
+
+func (c *lineCodec) ReadRequest() (Request, error) {
+	line, err := c.reader.ReadString('\n')
+	return Request{ID: line, Statement: statement.Read{}}, err
+}
+
+func (c *lineCodec) WriteReady() error { return c.write("ready") }
+
+func (c *lineCodec) WriteRejection(failure *statement.FailureError) error {
+	return c.write(failure.Code.String())
+}
+
+func (c *lineCodec) WriteAnswer(answer statement.Answer) error {
+	if answer.Failure != nil {
+		return c.write(answer.Failure.Code.String())
+	}
+	return c.write("ok")
+}
+
+func (c *lineCodec) write(line string) error {
+	_, err := c.conn.Write([]byte(line + "\n"))
+	return err
+}
+
+// oneRoute knows one route for all names, and confirms nothing.
+type oneRoute struct{ fresh.PositionSamples }
+
+func (*oneRoute) Route(string) (route.Route, bool) {
+	return route.Route{Group: "ratings", Timeout: 200 * time.Millisecond}, true
+}
+func (*oneRoute) ConfirmRoute(context.Context, string) (found, isCertain bool) { return true, true }
+func (*oneRoute) IdleTransactionTimeout() time.Duration                        { return 0 }
+func (*oneRoute) ConfigurationVersion() uint64                                 { return 1 }
+func (*oneRoute) IsPartitioned(model.GroupID) bool                             { return false }
+func (*oneRoute) ReportSuspectedPrimary(model.GroupID)                         {}
+func (r *oneRoute) SamplesOf(model.GroupID) *fresh.PositionSamples             { return &r.PositionSamples }
+func (*oneRoute) ConfirmPrimary(context.Context, lease.Grant, time.Time) lease.Validity {
+	return lease.ValidityPending
+}
+
+// startServer starts a server without databases. It returns its address, the function
+// that stops it, and the channel that receives its end.
+func startServer(t *testing.T) (netip.AddrPort, context.CancelFunc, <-chan error) {
+	t.Helper()
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := reserved.Addr().(*net.TCPAddr).AddrPort()
+	_ = reserved.Close()
+	routes := &oneRoute{}
+	server := NewServer(Options{
+		ListenAddress: address, Protocol: lineProtocol{}, Router: routes, PrimaryConfirmer: routes, Samples: routes,
+		Scheduler: placement.NewScheduler("lanier", lease.NewTable()),
+		Log:       eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended, err := server.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return address, stop, ended
+}
+
+func dial(t *testing.T, address netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+	return conn
+}
+
+// The end of a server must not wait for connections that have sent nothing, or only
+// part of a startup message, nor for idle sessions.
+func TestEndDoesNotWaitForCallers(t *testing.T) {
+	address, stop, ended := startServer(t)
+	silent, partial, idle := dial(t, address), dial(t, address), dial(t, address)
+	_, _ = partial.Write([]byte("entr"))
+	_, _ = idle.Write([]byte("entries\n"))
+	if line, err := bufio.NewReader(idle).ReadString('\n'); line != "ready\n" {
+		t.Fatal(line, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	stop()
+	select {
+	case <-ended:
+	case <-time.After(startupTimeout / 2):
+		t.Fatal("the server waits for its callers")
+	}
+	for _, conn := range []net.Conn{silent, partial, idle} {
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Error("a connection is still open")
+		}
+	}
+}
+
+// A statement that no database can run is rejected as not run once the part of its time
+// that it may wait has passed, before the route's timeout.
+func TestStatementWithoutDatabaseIsRejected(t *testing.T) {
+	address, _, _ := startServer(t)
+	conn := dial(t, address)
+	_, _ = conn.Write([]byte("entries\nfirst\n"))
+	reader := bufio.NewReader(conn)
+	startedAt := time.Now()
+	var lines []string
+	for range 2 {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, line)
+	}
+	if diff := cmp.Diff([]string{"ready\n", statement.CodeBusy.String() + "\n"}, lines); diff != "" {
+		t.Error(diff)
+	}
+	if took := time.Since(startedAt); took > 5*time.Second {
+		t.Errorf("rejected after %v", took)
+	}
+}
+
+// Callers that were rejected together must not return together, and neither must the
+// proxy's own retries; and both must come less often the longer the wait is.
+func TestReturnsAreSpread(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		draw         func() time.Duration
+		lowest, most time.Duration
+	}{
+		{"a short wait", func() time.Duration { return retryAfter(time.Millisecond) }, minRetryAfter * 3 / 4, minRetryAfter * 5 / 4},
+		{"a second", func() time.Duration { return retryAfter(time.Second) }, 750 * time.Millisecond, 1250 * time.Millisecond},
+		{"a long wait", func() time.Duration { return retryAfter(time.Hour) }, maxRetryAfter * 3 / 4, maxRetryAfter * 5 / 4},
+		{"the first retry", func() time.Duration { return retryPause(1) }, retryDelay / 2, retryDelay * 3 / 2},
+		{"the third retry", func() time.Duration { return retryPause(3) }, 2 * retryDelay, 6 * retryDelay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			drawn := map[time.Duration]bool{}
+			for range 200 {
+				d := c.draw()
+				drawn[d] = true
+				if d < c.lowest || d > c.most {
+					t.Fatalf("%v, want %v to %v", d, c.lowest, c.most)
+				}
+			}
+			if len(drawn) < 10 {
+				t.Errorf("%d different times of 200", len(drawn))
+			}
+		})
+	}
+}
