--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -24,7 +24,7 @@
 	// maxConnectionLimitBackoff: where many instances want a connection, each must
 	// ask less often.
 	connectionLimitBackoff    = 100 * time.Millisecond
-	maxConnectionLimitBackoff = 800 * time.Millisecond
+	maxConnectionLimitBackoff = 400 * time.Millisecond
 	// unresponsiveAfter is the time after which a database with statements in flight
 	// and no answer gets no new statements. Statements of the slowest kind take less.
 	unresponsiveAfter = 500 * time.Millisecond
@@ -32,11 +32,12 @@
 	// statements in flight is probed on a new connection: half of unresponsiveAfter,
 	// so that the answer arrives before the primary counts as unresponsive.
 	suspectAfter = 250 * time.Millisecond
-	// maxAnswerAge is how long an answer shows that an idle primary is healthy: more
-	// than the interval between two probes by an observer, an instance that probes
-	// idle primaries. The argument idleThreshold of PrimariesToProbe determines that
-	// interval.
-	maxAnswerAge = 2500 * time.Millisecond
+	// maxAnswerAge is how long an answer shows that an idle primary is healthy: little
+	// more than the interval between two probes by an observer, an instance that
+	// probes idle primaries. The argument idleThreshold of PrimariesToProbe determines
+	// that interval. Where an instance seldom sends a statement to a primary, an answer
+	// from before a failure must not count against those who find it silent.
+	maxAnswerAge = 1300 * time.Millisecond
 	// lagReduction is the fraction by which the lag estimate of a replica falls with
 	// each answer that was fresh enough. lagDecayTime is the age at which the
 	// estimate is halved, so that a replica that has caught up is tried again even
@@ -232,7 +233,7 @@
 // connectionLimitDelay returns the time for which no further connection is opened, by
 // the number of rejections since the last answer.
 func (db *databaseState) connectionLimitDelay() time.Duration {
-	const doublings = 3
+	const doublings = 2
 	return min(connectionLimitBackoff<<min(max(db.connectionRejections-1, 0), doublings), maxConnectionLimitBackoff)
 }
 
