--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -38,7 +38,12 @@
 	lowestDriftTime  = 5 * time.Minute
 	lowestDriftAtMin = 1.005
 	// maxPause bounds the pause between two statements to a database.
-	maxPause = time.Second
+	maxPause = 400 * time.Millisecond
+	// recoveryPerSecond is how much the limit rises in a second without an adjustment,
+	// from recoveryDelay after the last one. An instance that seldom sends a statement to a
+	// database gets too few answers for the limit to rise by them after an overload.
+	recoveryPerSecond = 0.3
+	recoveryDelay     = 500 * time.Millisecond
 )
 
 // inFlightLimit limits the statements of this instance that are in flight to one
@@ -58,7 +63,9 @@
 	// lowest slowAverage observed, as of lowestAt; zero at first.
 	average, slowAverage, lowest time.Duration
 	lowestAt                     time.Time
-	adjustedAt                   time.Time
+	// adjustedAt is when value was last adjusted by an answer, recoversFrom the time
+	// from which on it rises by itself.
+	adjustedAt, recoversFrom time.Time
 	// pausedUntil is the time before which no statement is sent if value is below
 	// one.
 	pausedUntil time.Time
@@ -78,6 +85,7 @@
 
 // allows reports whether another statement may be sent.
 func (l *inFlightLimit) allows(now time.Time, inFlight int) bool {
+	l.recover(now)
 	if l.value < 1 {
 		return inFlight == 0 && !now.Before(l.pausedUntil)
 	}
@@ -90,6 +98,7 @@
 // answered records that the database answered a statement after the given time.
 // waiting is the number of statements that wait at this instance for the same group.
 func (l *inFlightLimit) answered(now time.Time, elapsed time.Duration, waiting int) {
+	l.recover(now)
 	l.answers++
 	l.average = moveAverage(l.average, elapsed, averageWeight, l.answers)
 	l.slowAverage = moveAverage(l.slowAverage, elapsed, lowestWeight, l.answers)
@@ -146,7 +155,21 @@
 
 // set adjusts the limit within its bounds.
 func (l *inFlightLimit) set(now time.Time, value float64) {
-	l.value, l.adjustedAt = min(max(value, l.min), l.max), now
+	l.value, l.adjustedAt, l.recoversFrom = min(max(value, l.min), l.max), now, now.Add(recoveryDelay)
+}
+
+// recover raises a limit below one by the time since recoversFrom. A limit that reaches
+// one ends the pause.
+func (l *inFlightLimit) recover(now time.Time) {
+	elapsed := now.Sub(l.recoversFrom)
+	if l.value >= 1 || elapsed <= 0 {
+		return
+	}
+	l.value, l.recoversFrom = min(1, l.value+recoveryPerSecond*elapsed.Seconds()), now
+	if l.value >= 1 {
+		l.rounded = max(1, l.rounded)
+		l.pausedUntil = time.Time{}
+	}
 }
 
 // pause delays the next statement so that, with a limit below one, this instance uses
--- a/internal/core/placement/limit_test.go
+++ b/internal/core/placement/limit_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// Many instances, each of which seldom sends a statement to a database: after an
+// overload that is over, the limit must not wait for dozens of answers to recover, since
+// each statement until then would wait for a pause although slots are free.
+func TestLimitRecoversWithTime(t *testing.T) {
+	l := newLimit(4, 295)
+	now := time.Unix(1000, 0)
+	for range minLatencySamples {
+		now = now.Add(time.Second)
+		l.answered(now, 20*time.Millisecond, 0)
+	}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		l.shed(now)
+	}
+	if l.value > 0.2 || l.allows(now, 0) {
+		t.Errorf("a limit of %.2f after an overload", l.value)
+	}
+	now = now.Add(4 * time.Second)
+	if !l.allows(now, 0) || l.value != 1 {
+		t.Errorf("a limit of %.2f four seconds later", l.value)
+	}
+	l.pausedUntil = now.Add(time.Second)
+	if !l.allows(now, 0) {
+		t.Error("a limit of one pauses")
+	}
+}
+
 // vary returns a time with the given mean: most are shorter, some far longer.
 func vary(random *rand.Rand, mean time.Duration) time.Duration {
 	const spread = 0.7
