--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -78,6 +78,7 @@
 func (*oneRoute) IsPartitioned(model.GroupID) bool                             { return false }
 func (*oneRoute) ReportSuspectedPrimary(model.GroupID)                         {}
 func (r *oneRoute) SamplesOf(model.GroupID) *fresh.PositionSamples             { return &r.PositionSamples }
+
 func (*oneRoute) ConfirmPrimary(context.Context, lease.Grant, time.Time) lease.Validity {
 	return lease.ValidityPending
 }
