Rejected waiters no longer count for those behind them; paces end with the last waiter

Cause (found reading the change): within one pass a waiter that was rejected still counted as ahead, so that those behind it looked later than they were; a waiter that gave up left its rank's pace running, so that the next statement saw a slow pace. Change: both; comments that were out of date. Figures: TestRejectedWaiterIsNotAhead and TestPaceEndsWithLastWaiter, red before by construction.

--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -53,7 +53,7 @@
 // when statements queue at the database or are shed. A limit below one is a pause
 // between two statements.
 //
-// The zero value is not usable; see newInFlightLimit.
+// The zero value has to be resized before its first use.
 type inFlightLimit struct {
 	value, min, max float64
 	// rounded is value as a whole number: up or down, so often that the mean is value.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,12 +5,14 @@
 //
 // Inputs are the databases of the directory, the results of statements (latency, log
 // position, failures) and the Requirements of sessions. Outputs are Reservations, in
-// the order of rank and then of arrival. A reservation is one connection of a
-// database and one statement in flight to it.
+// the order of rank, then of whether the latency target can still be met, then of
+// arrival, and rejections of what can't be served in time. A reservation is one
+// connection of a database and one statement in flight to it.
 //
-// The number of statements in flight to a database is limited, so that statements
-// queue here, ordered by rank, and not in the database's own queue, which has
-// no ranks.
+// The number of statements in flight to a database follows its latency (limit.go), so
+// that statements queue here, ordered by rank (queue.go), and not in the database's own
+// queue, which has no ranks. Where connections are scarce, home.go says which of them an
+// instance keeps.
 //
 // # Usage
 //
@@ -260,6 +262,7 @@
 	g := s.group(w.requirements.Group)
 	if i := slices.Index(g.waiting, w); i >= 0 {
 		g.waiting = slices.Delete(g.waiting, i, i+1)
+		g.endIdlePaces()
 		return Reservation{}, context.DeadlineExceeded
 	}
 	return (<-w.decided).result()
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -99,9 +99,12 @@
 // waiter can't be served in time any more and is rejected now rather than at its
 // deadline. A waiter that can't meet its target any more is marked as late: it goes
 // behind those that can.
-func (e *waitEstimator) rejectOrDelay(w *waiter, primaryOnly bool) bool {
+func (e *waitEstimator) rejectOrDelay(w *waiter, primaryOnly bool) (isRejected bool) {
 	key := lane{rank: w.requirements.Rank, primaryOnly: primaryOnly}
 	defer func() {
+		if isRejected {
+			return
+		}
 		e.ahead[key]++
 		if !w.late {
 			e.inTime[key]++
@@ -150,7 +153,6 @@
 		estimator.primary = s.byID[grant.Primary]
 	}
 	stillWaiting := g.waiting[:0]
-	waitingByRank := map[model.Rank]int{}
 	for _, w := range g.waiting {
 		reservation := s.choose(now, g, &w.requirements, grant, hasGrant)
 		if db := reservation.databaseState; db != nil {
@@ -166,20 +168,29 @@
 			w.decided <- decision{rejected: true, expectedWait: w.expectedWait}
 			continue
 		}
-		waitingByRank[w.requirements.Rank]++
 		stillWaiting = append(stillWaiting, w)
 	}
 	clear(g.waiting[len(stillWaiting):])
 	g.waiting = stillWaiting
 	slices.SortStableFunc(g.waiting, compareOrder)
+	g.endIdlePaces()
+	s.scheduleWakeUp(now, g)
+}
+
+// endIdlePaces records that no waiters of some ranks are left: the time until the next
+// one says nothing about how fast the rank is served.
+func (g *group) endIdlePaces() {
+	waiting := map[model.Rank]bool{}
+	for _, w := range g.waiting {
+		waiting[w.requirements.Rank] = true
+	}
 	for _, db := range g.databases {
 		for rank, p := range db.paces {
-			if waitingByRank[rank] == 0 {
+			if !waiting[rank] {
 				p.lastAt = time.Time{}
 			}
 		}
 	}
-	s.scheduleWakeUp(now, g)
 }
 
 // needsPrimary reports whether only the primary can serve a waiter at present.
--- a/internal/core/placement/queue_test.go
+++ b/internal/core/placement/queue_test.go
@@ -135,3 +135,47 @@
 		t.Errorf("the statement waited for %v", waited)
 	}
 }
+
+// A waiter that gives up ends the time between two reservations: the time until the next
+// statement of its rank, however long, must not count as a slow pace.
+func TestPaceEndsWithLastWaiter(t *testing.T) {
+	s, _ := newFixture(t)
+	occupy(t, s, 1)
+	s.servedEvery("a", 1, time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.Acquire(ctx, Requirements{Group: ratings, Rank: 1, ArrivedAt: clock.Now(), RequiresPrimary: true})
+		ended <- err
+	}()
+	for s.QueueLength(ratings) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.byID["a"].pace(1); !p.lastAt.IsZero() {
+		t.Errorf("the pace counts from %v on, although nothing waits", p.lastAt)
+	}
+}
+
+// A waiter that is rejected leaves the queue: those behind it move up.
+func TestRejectedWaiterIsNotAhead(t *testing.T) {
+	s, _ := newFixture(t)
+	s.servedEvery("a", 1, 80*time.Millisecond)
+	now := clock.Now()
+	newWaiter := func(target, deadline time.Duration) *waiter {
+		return &waiter{requirements: Requirements{Group: ratings, Rank: 1, Target: now.Add(target), Deadline: now.Add(deadline)}}
+	}
+	e := waitEstimator{now: now, g: s.group(ratings), primary: s.byID["a"], ahead: map[lane]int{}, inTime: map[lane]int{}}
+	got := []bool{
+		e.rejectOrDelay(newWaiter(time.Minute, time.Minute), true),
+		e.rejectOrDelay(newWaiter(time.Minute, 100*time.Millisecond), true),
+		e.rejectOrDelay(newWaiter(time.Minute, 100*time.Millisecond), true),
+		e.rejectOrDelay(newWaiter(200*time.Millisecond, time.Minute), true),
+	}
+	if diff := cmp.Diff([]bool{false, true, true, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
