--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxAttempts bounds the attempts for one statement.
-	maxAttempts = 6
+	maxAttempts = 5
 	// firstAttemptShare is the part of a read's remaining time after which its first
 	// attempt times out and another database is tried, because the answer may have
 	// been lost. Even the slowest statements take less than this part of their time.
