--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -10,8 +10,8 @@
 
 const (
 	// extraStatements is the number of statements that one instance may have in
-	// flight to a database beyond its share of the slots, so that no slot idles
-	// during the network round trip.
+	// flight to a database beyond its slots, so that no slot idles during the network
+	// round trip.
 	extraStatements = 1
 	// extraUrgentStatements is the number of statements that the most urgent rank may
 	// have in flight beyond that.
