Free the share of an instance that leaves

Cause: the engine frees the share of a leaving instance and then sets the live instances in the same step. SetPeers still saw it among the live ones of before, found it missing and reserved its share for 30 s.

Change: RemovePeer takes the instance out of the live ones as well.

Ruled out: calling SetPeers first; it logs a reservation that ends at once.

Figures: TestLeavingPeerFreesItsShare, red before for the instance that announced itself; one that disappears keeps its reservation.

Conclusion: the other instances get its slots and connections at once.

--- a/internal/core/rank/peers.go
+++ b/internal/core/rank/peers.go
@@ -43,6 +43,13 @@
 	return removed
 }
 
+// remove deletes an instance, with the reservation of its share.
+func (p *peers) remove(now time.Time, id model.InstanceID) {
+	p.live = slices.DeleteFunc(p.live, func(live model.InstanceID) bool { return live == id })
+	delete(p.reservedUntil, id)
+	p.refresh(now)
+}
+
 // refresh ends the reservations that have expired and updates known.
 func (p *peers) refresh(now time.Time) {
 	p.known = append(p.known[:0], p.live...)
--- a/internal/core/rank/scheduler.go
+++ b/internal/core/rank/scheduler.go
@@ -410,11 +410,10 @@
 	s.updateArbiter(now)
 }
 
-// RemovePeer ends the reservation of the share of an instance that has
-// announced its termination and is no longer live.
+// RemovePeer frees the share of an instance that has announced its termination
+// and is no longer live. The next SetPeers does not reserve it.
 func (s *Scheduler) RemovePeer(now time.Time, id model.InstanceID) {
-	delete(s.peers.reservedUntil, id)
-	s.peers.refresh(now)
+	s.peers.remove(now, id)
 }
 
 // updateArbiter sets the arbiter of each group to the one that peers.arbiter
--- a/internal/core/rank/scheduler_test.go
+++ b/internal/core/rank/scheduler_test.go
@@ -271,3 +271,22 @@
 	}
 	return served
 }
+
+// An instance that announces its termination frees its share at once, although it
+// is missing from the live instances that SetPeers sets afterwards. One that
+// disappears without an announcement keeps its share reserved.
+func TestLeavingPeerFreesItsShare(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		s := newTestScheduler()
+		s.SetPeers(start, []model.InstanceID{"i", "j", "k"})
+		want := []model.InstanceID{"i", "j", "k"}
+		if announced {
+			s.RemovePeer(start, "j")
+			want = []model.InstanceID{"i", "k"}
+		}
+		s.SetPeers(start, []model.InstanceID{"i", "k"})
+		if diff := cmp.Diff(want, s.peers.known); diff != "" {
+			t.Errorf("announced %v: %s", announced, diff)
+		}
+	}
+}
