Odd rows in the product's own tables end no process

Cause: the rows of the table of groups were decoded without ranges. An odd group row left the group without a lease, an odd coordinator lease with a token that starts again at 1, and every change conflicted with the row that was there. Each read logged a line.

Change: ranges and a maximum size for stored rows, one typed error (model.OutOfRangeError, moved from platform), one log line a version. The known value stays in force under the new version of the row, which the next change replaces. Fuzz targets FuzzDecodeStored and FuzzDecodeRows.

Ruled out: leaving odd rows out of the table (no lease, conflicts), and deleting them (a newer release may have written them).

Conclusion: one row of another writer costs one log line.

--- a/internal/core/engine/failover_claim.go
+++ b/internal/core/engine/failover_claim.go
@@ -48,7 +48,10 @@
 	var row groupRow
 	if rowExists {
 		rowVersion = read.Rows[0].Version
-		row = decodeGroupRow(read.Rows[0].Body)
+		var err error
+		if row, err = decodeGroupRow(read.Rows[0].Body); err != nil && rowVersion != st.rowVersion {
+			e.logRejected(read.Rows[0], err)
+		}
 	}
 	if rowVersion != st.rowVersion || st.rowUnchangedSince.IsZero() {
 		st.rowUnchangedSince = e.now
--- a/internal/core/engine/stored_rows_test.go
+++ b/internal/core/engine/stored_rows_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
 // TestStoredRows guards against a renamed field that changes the rows at the
@@ -67,11 +68,17 @@
 		part := strings.SplitN(strings.TrimSpace(line), " ", 3)
 		switch body := []byte(part[2]); part[0] {
 		case groupTable:
-			decodedRows = append(decodedRows, decodeGroupRow(body))
+			row, err := decodeGroupRow(body)
+			if err != nil {
+				t.Error(err)
+			}
+			decodedRows = append(decodedRows, row)
 		case logbookTable:
 			e.handleLogbookRead(g, message.RowsRead{Rows: []message.Row{{Body: body}}})
 		case manifestTable:
-			decodedManifest = decodeManifestRow(body)
+			if decodedManifest, err = decodeManifestRow(body); err != nil {
+				t.Error(err)
+			}
 		}
 	}
 	if diff := cmp.Diff(rows, decodedRows); diff != "" {
@@ -84,3 +91,17 @@
 		t.Errorf("decoded manifest row: %s", diff)
 	}
 }
+
+func FuzzDecodeRows(f *testing.F) {
+	f.Add([]byte(`{"number":1,"digest":"ab","nonce":"pipeline","who":"x","at":"2026-01-02T03:04:05Z","by":"i1"}`))
+	f.Add([]byte(`{"term":4,"phase":"claimed","primary":"a","steward":"i1","nonce":"n","reason":"r"}`))
+	f.Add([]byte(`{"number":18446744073709551615,"term":18446744073709551615}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if row, err := decodeManifestRow(body); err == nil && row.Number > model.MaxCounter || err != nil && row != (manifestRow{}) {
+			t.Errorf("manifest row %+v", row)
+		}
+		if row, err := decodeGroupRow(body); err == nil && row.Term > model.MaxCounter || err != nil && row != (groupRow{}) {
+			t.Errorf("group row %+v", row)
+		}
+	})
+}
--- a/internal/core/engine/system_manifest.go
+++ b/internal/core/engine/system_manifest.go
@@ -36,8 +36,12 @@
 	if read.Result != message.PlatformOK || len(read.Rows) == 0 {
 		return
 	}
-	row := decodeManifestRow(read.Rows[0].Body)
-	if row.Number <= s.number {
+	row, err := decodeManifestRow(read.Rows[0].Body)
+	if err != nil && read.Rows[0].Version != s.rejectedVersion {
+		s.rejectedVersion = read.Rows[0].Version
+		e.logRejected(read.Rows[0], err)
+	}
+	if err != nil || row.Number <= s.number {
 		return
 	}
 	e.readManifestObject(row)
--- a/internal/core/engine/system_submit.go
+++ b/internal/core/engine/system_submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/manifest"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
@@ -133,7 +134,13 @@
 	var row manifestRow
 	version := ""
 	if len(read.Rows) > 0 {
-		row = decodeManifestRow(read.Rows[0].Body)
+		var err error
+		if row, err = decodeManifestRow(read.Rows[0].Body); err != nil {
+			// The submission replaces the row, if it was reviewed against the manifest in
+			// force.
+			e.logRejected(read.Rows[0], err)
+			row.Number = e.manifests.number
+		}
 		version = read.Rows[0].Version
 	}
 	if row.Nonce == sub.row.Nonce {
@@ -210,20 +217,35 @@
 	e.emit(message.ManifestDecided{CorrelationID: sub.correlationID, Number: number, Result: result, Detail: detail})
 }
 
-// decodeManifestRow decodes a row's body. It returns the zero row if that fails.
-func decodeManifestRow(body []byte) manifestRow {
+// decodeManifestRow decodes a row's body and checks its number. It returns the zero
+// row with an error.
+func decodeManifestRow(body []byte) (manifestRow, error) {
 	var row manifestRow
-	if json.Unmarshal(body, &row) != nil {
-		return manifestRow{}
+	err := json.Unmarshal(body, &row)
+	if err == nil {
+		err = model.CheckCounter("number", row.Number)
+	}
+	if err != nil {
+		return manifestRow{}, err
 	}
-	return row
+	return row, nil
 }
 
-// decodeGroupRow decodes a row's body. It returns the zero row if that fails.
-func decodeGroupRow(body []byte) groupRow {
+// decodeGroupRow decodes a row's body and checks its term. It returns the zero row
+// with an error.
+func decodeGroupRow(body []byte) (groupRow, error) {
 	var row groupRow
-	if json.Unmarshal(body, &row) != nil {
-		return groupRow{}
+	err := json.Unmarshal(body, &row)
+	if err == nil {
+		err = model.CheckCounter("term", uint64(row.Term))
+	}
+	if err != nil {
+		return groupRow{}, err
 	}
-	return row
+	return row, nil
+}
+
+// logRejected logs a row of the platform that can't be decoded.
+func (e *Engine) logRejected(row message.Row, err error) {
+	e.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key), event.F("error", err.Error()))
 }
--- a/internal/core/engine/table_manifest.go
+++ b/internal/core/engine/table_manifest.go
@@ -30,7 +30,9 @@
 	objectReadID uint64
 	pendingRow   manifestRow
 	nextRead     time.Time
-	submissions  []*submission
+	// rejectedVersion is the version of the last row that could not be decoded.
+	rejectedVersion string
+	submissions     []*submission
 }
 
 // kind returns the request kind of that name, and false if there is none. An empty
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -27,6 +27,7 @@
 package lease
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -51,7 +52,16 @@
 )
 
 // String returns the name of p for log lines.
-func (p Phase) String() string { return [...]string{"stable", "changing"}[p] }
+func (p Phase) String() string {
+	switch p {
+	case PhaseStable:
+		return "stable"
+	case PhaseChanging:
+		return "changing"
+	default:
+		return "phase " + strconv.Itoa(int(p))
+	}
+}
 
 // GroupRow is a group's entry in the table of groups.
 type GroupRow struct {
@@ -95,8 +105,11 @@
 	Version uint64
 	// ReadStartedAt is a lower bound, on this instance's clock, of the time at which
 	// the read of the table started.
-	ReadStartedAt    time.Time
-	Rows             map[model.GroupID]GroupRow
+	ReadStartedAt time.Time
+	Rows          map[model.GroupID]GroupRow
+	// Odd holds the versions of the rows that could not be decoded and of which no
+	// earlier value is known.
+	Odd              map[model.GroupID]uint64
 	CoordinatorLease CoordinatorLease
 	// IsMember is true if this instance is listed among those that use leases. A view
 	// without this instance confirms nothing, since the coordinator that replaces a
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -52,8 +52,8 @@
 	// confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
-	// rejected holds the version of each entry that could not be decoded.
-	rejected map[string]uint64
+	// rejected holds the entries that could not be decoded.
+	rejected rejections
 	// configurationBody is the configuration in force, encoded as the operator
 	// wrote it.
 	configurationBody []byte
@@ -104,5 +104,5 @@
 }
 
 func newDirectory() directory {
-	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}, rejected: map[string]uint64{}}
+	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}}
 }
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -22,7 +22,7 @@
 		listed[id] = true
 		d.listed = max(d.listed, row.Version)
 		if row.Deleted {
-			delete(d.rejected, row.Key)
+			d.rejected.remove(row.Key)
 			d.listed = max(d.listed, rows.Version)
 			f.markMissing(id)
 			continue
@@ -88,15 +88,10 @@
 		current.version = row.Version
 		f.markMissing(model.DatabaseID(row.Key))
 	}
-	if version, found := d.rejected[row.Key]; found && version >= row.Version {
-		return
-	}
-	if len(d.rejected) >= maxRejected {
-		clear(d.rejected)
+	if d.rejected.add(row) {
+		f.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
+			event.F("error", err.Error()))
 	}
-	d.rejected[row.Key] = row.Version
-	f.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
-		event.F("error", err.Error()))
 }
 
 // applyEntry applies one entry. The directory must be locked.
@@ -107,7 +102,7 @@
 		return
 	}
 	d := &f.directory
-	delete(d.rejected, row.Key)
+	d.rejected.remove(row.Key)
 	current, found := d.entries[decoded.ID]
 	if !found || current.Incarnation != decoded.Incarnation {
 		current = &entry{}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -110,8 +110,10 @@
 	Scheduler *placement.Scheduler
 	Pool      *backend.Pool
 
-	directory    directory
-	renewal      renewal
+	directory directory
+	renewal   renewal
+	// rejectedRows holds the rows of the table of groups that could not be decoded.
+	rejectedRows rejections
 	peers        peers
 	surveys      surveys
 	groupGossip  groupGossip
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
@@ -188,57 +185,26 @@
 	if err != nil {
 		return err
 	}
-	view := lease.View{
-		Version: rows.Version, ReadStartedAt: startedAt,
-		Rows: map[model.GroupID]lease.GroupRow{},
+	known := groupRows{view: f.Leases.View(), members: f.knownMembers()}
+	read := groupRows{
+		view: lease.View{
+			Version: rows.Version, ReadStartedAt: startedAt,
+			Rows: map[model.GroupID]lease.GroupRow{}, Odd: map[model.GroupID]uint64{},
+		},
+		members: map[model.InstanceID]member{},
 	}
-	members := map[model.InstanceID]member{}
 	for _, row := range rows.Rows {
-		f.decodeRow(row, &view, members)
+		f.decodeRow(row, known, &read)
 	}
-	_, view.IsMember = members[f.options.InstanceName]
-	f.updateMembers(members, view.Version)
-	f.updateView(view, "store")
+	_, read.view.IsMember = read.members[f.options.InstanceName]
+	f.updateMembers(read.members, read.view.Version)
+	f.updateView(read.view, "store")
 	return nil
 }
 
-// decodeRow adds one row of the table of groups to a view or to the members. A
-// row that can't be decoded is logged and left out.
-func (f *Fleet) decodeRow(row store.Row, view *lease.View, members map[model.InstanceID]member) {
-	if name, ok := strings.CutPrefix(row.Key, memberPrefix); ok {
-		var decoded member
-		if f.decodeValue(row, &decoded) {
-			members[model.InstanceID(name)] = decoded
-		}
-		return
-	}
-	if name, ok := strings.CutPrefix(row.Key, groupPrefix); ok {
-		var decoded lease.GroupRow
-		if f.decodeValue(row, &decoded) {
-			decoded.Version = row.Version
-			view.Rows[model.GroupID(name)] = decoded
-		}
-		return
-	}
-	if row.Key == coordinatorLeaseKey && f.decodeValue(row, &view.CoordinatorLease) {
-		view.CoordinatorLease.Version = row.Version
-	}
-}
-
 // groupKey returns the key of a group's row.
 func groupKey(name model.GroupID) string { return groupPrefix + string(name) }
 
-// decodeValue decodes a row's value into target and reports whether that
-// succeeded. It logs a failure as ContentRejected.
-func (f *Fleet) decodeValue(row store.Row, target any) bool {
-	err := msgpack.Unmarshal(row.Value, target)
-	if err != nil {
-		f.logEvent(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
-			event.F("error", err.Error()))
-	}
-	return err == nil
-}
-
 // recordStoreOutcome records whether the store has answered a call about the table of
 // groups. A conflict and a compacted history are answers as well. Calls about other
 // tables do not count: a store that is partly unavailable may serve those only, and an
@@ -297,18 +263,18 @@
 			Coordinator: f.options.StartID, Reason: "first row",
 		}
 		tx := store.Transaction{
-			Preconditions: []store.Row{{Table: groupTable, Key: groupKey(group.name)}},
+			Preconditions: []store.Row{{
+				Table: groupTable, Key: groupKey(group.name), Version: view.Odd[group.name],
+			}},
 			Upserts: []store.Row{
 				{Table: groupTable, Key: groupKey(group.name), Value: f.encode(&row)},
 				f.recordRow(f.firstRecord(group.name, row), row.Epoch),
 			},
 		}
 		if coordinatorLease := view.CoordinatorLease; coordinatorLease.Holder == "" {
-			ownLease := lease.CoordinatorLease{
-				Holder: f.options.StartID, HolderName: f.options.InstanceName, FencingToken: 1,
-			}
+			ownLease := f.ownLease(coordinatorLease)
 			tx.Preconditions = append(tx.Preconditions,
-				store.Row{Table: groupTable, Key: coordinatorLeaseKey})
+				store.Row{Table: groupTable, Key: coordinatorLeaseKey, Version: coordinatorLease.Version})
 			tx.Upserts = append(tx.Upserts,
 				store.Row{Table: groupTable, Key: coordinatorLeaseKey, Value: f.encode(&ownLease)})
 			view.CoordinatorLease = ownLease
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -75,6 +75,13 @@
 	return slices.Collect(maps.Keys(f.peers.members))
 }
 
+// knownMembers returns the other members. The map is replaced, never changed.
+func (f *Fleet) knownMembers() map[model.InstanceID]member {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	return f.peers.members
+}
+
 // membersByZone returns the number of members in each availability zone, with this
 // instance.
 func (f *Fleet) membersByZone() map[model.ZoneID]int {
--- a/internal/node/fleet/stored_rows_test.go
+++ b/internal/node/fleet/stored_rows_test.go
@@ -86,8 +86,7 @@
 		t.Errorf("encoded rows: %s", diff)
 	}
 
-	decoded := lease.View{Rows: map[model.GroupID]lease.GroupRow{}}
-	decodedMembers := map[model.InstanceID]member{}
+	decoded := groupRows{view: lease.View{Rows: map[model.GroupID]lease.GroupRow{}}, members: map[model.InstanceID]member{}}
 	for line := range strings.Lines(string(golden)) {
 		part := strings.SplitN(strings.TrimSpace(line), " ", 3)
 		if part[0] == logbookTable {
@@ -98,16 +97,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.decodeRow(store.Row{Table: part[0], Key: part[1], Value: value, Version: version}, &decoded, decodedMembers)
+		f.decodeRow(store.Row{Table: part[0], Key: part[1], Value: value, Version: version}, groupRows{}, &decoded)
 	}
 	equal := cmp.Options{
 		cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 		cmpopts.IgnoreUnexported(lease.GroupRow{}, lease.CoordinatorLease{}, member{}),
 	}
-	if diff := cmp.Diff(view, decoded, equal); diff != "" {
+	if diff := cmp.Diff(view, decoded.view, equal); diff != "" {
 		t.Errorf("decoded group rows: %s", diff)
 	}
-	if diff := cmp.Diff(members, decodedMembers, equal); diff != "" {
+	if diff := cmp.Diff(members, decoded.members, equal); diff != "" {
 		t.Errorf("decoded members: %s", diff)
 	}
 	logbook, err := f.Logbook(t.Context(), "")
