--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -21,10 +21,13 @@
 	"golang.org/x/sys/unix"
 )
 
+// source is the clock that is read.
+const source = unix.CLOCK_BOOTTIME
+
 // Now returns the time since boot, including suspensions.
 func Now() time.Time {
 	var uptime unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &uptime); err != nil {
+	if err := unix.ClockGettime(source, &uptime); err != nil {
 		// Every Linux kernel since 2.6.39 has this clock. Without it no age could be
 		// measured reliably.
 		panic(err)
--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -57,6 +57,9 @@
 	DatabaseFlags []string
 	// LogLevel is the log level of the instances. The default is "info".
 	LogLevel string
+	// Linked puts a Link before each database and before the address for callers of
+	// each instance.
+	Linked bool
 }
 
 // Database is one simulated database of the deployment.
@@ -67,6 +70,8 @@
 	Address      netip.AddrPort
 	AdminAddress netip.AddrPort
 	Process      *Process
+	// Link carries the connections to Address if Options.Linked is set.
+	Link *Link
 }
 
 // Instance is one instance of eelgrassfold in the deployment.
@@ -75,6 +80,9 @@
 	Zone                                        model.ZoneID
 	CallerAddress, PeerAddress, OperatorAddress netip.AddrPort
 	Process                                     *Process
+	// Link carries the connections of callers that connect to its address instead of
+	// CallerAddress. It is present if Options.Linked is set.
+	Link *Link
 }
 
 // Deployment is a running deployment.
@@ -86,6 +94,7 @@
 	options   Options
 	directory string
 	processes []*Process
+	links     []*Link
 }
 
 // StartError reports a deployment that did not start completely.
@@ -113,7 +122,7 @@
 	}
 	d := &Deployment{options: options, directory: directory}
 	steps := []func(context.Context) error{
-		d.startPlatform, d.startDatabases, d.startInstances, d.submitInitialManifest, d.AwaitServing,
+		d.startPlatform, d.startDatabases, d.startInstances, d.startLinks, d.submitInitialManifest, d.AwaitServing,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -139,6 +148,11 @@
 			firstErr = err
 		}
 	}
+	for _, link := range d.links {
+		if err := link.Close(); err != nil && firstErr == nil {
+			firstErr = err
+		}
+	}
 	if err := os.RemoveAll(d.directory); err != nil && firstErr == nil {
 		firstErr = errors.WithStack(err)
 	}
@@ -245,6 +259,36 @@
 	return nil
 }
 
+// startLinks starts the links. The manifest and replicas that are redirected use those of
+// the databases; the first replication streams do not.
+func (d *Deployment) startLinks(context.Context) error {
+	if !d.options.Linked {
+		return nil
+	}
+	start := func(target netip.AddrPort) (*Link, error) {
+		link, err := newLink(target)
+		if err == nil {
+			d.links = append(d.links, link)
+		}
+		return link, err
+	}
+	for _, database := range d.Databases {
+		link, err := start(database.Address)
+		if err != nil {
+			return err
+		}
+		database.Link, database.Address = link, link.Address
+	}
+	for _, in := range d.Instances {
+		link, err := start(in.CallerAddress)
+		if err != nil {
+			return err
+		}
+		in.Link = link
+	}
+	return nil
+}
+
 // StartInstance starts an instance, or restarts one that has ended.
 func (d *Deployment) StartInstance(in *Instance) error {
 	level := d.options.LogLevel
--- a/internal/standin/deploy/process.go
+++ b/internal/standin/deploy/process.go
@@ -160,6 +160,9 @@
 	}
 }
 
+// Terminate sends SIGTERM. It does not wait for the end of the process.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
 // LogTail returns the last lines of the log, at most logTailLines.
 func (p *Process) LogTail() string {
 	lines := p.LogLines()
--- a/internal/standin/drill/drill.go
+++ b/internal/standin/drill/drill.go
@@ -52,6 +52,7 @@
 	{"overhead", "Throughput and latency through one instance, compared with a database directly.", &Overhead{}},
 	{"flood", "Throughput and latency by request kind while one kind floods.", &Flood{}},
 	{"idle", "Memory of idle callers' connections.", &Idle{}},
+	{"soak", "Randomly drawn faults, several at a time, with checks of what callers, operators and databases see.", &Soak{}},
 	{"capacity", "Cost of an idle instance, and its slope by instances, groups and listed names.", &Capacity{}},
 }
 
@@ -61,7 +62,7 @@
 	var commandLine struct {
 		Binaries string `help:"Directory of the built binaries." default:".build"`
 	}
-	options := []kong.Option{kong.Name("drill"), kong.Description("Measures eelgrassfold on one machine, with a simulated platform and simulated databases.")}
+	options := []kong.Option{kong.Name("drill"), kong.Description("Measures eelgrassfold on one machine, with a simulated platform and simulated databases."), kong.Vars{"faults": soakFaultNames()}}
 	for _, e := range experiments {
 		options = append(options, kong.DynamicCommand(e.name, e.help, "", e.experiment))
 	}
--- a/internal/standin/drill/experiment_failover.go
+++ b/internal/standin/drill/experiment_failover.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/load"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/platform"
 )
 
 // Failover makes the primary fail under load, each time in a new deployment, and measures
@@ -158,6 +159,15 @@
 	return sendRequest(ctx, http.MethodPost, fmt.Sprintf("http://%s/fault", d.AdminAddress), body)
 }
 
+// setPlatformFault sets the fault of the simulated platform.
+func setPlatformFault(ctx context.Context, d *deploy.Deployment, fault platform.FaultRequest) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return sendRequest(ctx, http.MethodPost, fmt.Sprintf("http://%s/admin/fault", d.PlatformAddress), body)
+}
+
 // sendRequest sends an HTTP request to a simulated server. Its error is a
 // *load.HTTPStatusError if the status is 300 or above.
 func sendRequest(ctx context.Context, method, url string, body []byte) error {
--- a/internal/standin/drill/experiment_manifest.go
+++ b/internal/standin/drill/experiment_manifest.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/platform"
 )
 
 // Manifest measures the time from the acceptance of a manifest until it is in force on
@@ -20,10 +20,13 @@
 
 // manifestStates are the states of the platform, each with the platform's fault before
 // and after the submission.
-var manifestStates = []struct{ name, faultBefore, faultAfter string }{
-	{"up", `{"fault":"none"}`, `{"fault":"none"}`},
-	{"slow", `{"fault":"slow","delay":"1s"}`, `{"fault":"slow","delay":"1s"}`},
-	{"down", `{"fault":"none"}`, `{"fault":"outage"}`},
+var manifestStates = []struct {
+	name                    string
+	faultBefore, faultAfter platform.FaultRequest
+}{
+	{"up", platform.FaultRequest{Fault: "none"}, platform.FaultRequest{Fault: "none"}},
+	{"slow", platform.FaultRequest{Fault: "slow", Delay: "1s"}, platform.FaultRequest{Fault: "slow", Delay: "1s"}},
+	{"down", platform.FaultRequest{Fault: "none"}, platform.FaultRequest{Fault: "outage"}},
 }
 
 // Run implements Experiment.
@@ -50,12 +53,12 @@
 		slices.Sort(times)
 		writeRow(out, "%-9s %9s %9s", state.name, roundToMillisecond(times[len(times)/2]), roundToMillisecond(times[len(times)-1]))
 	}
-	return setPlatformFault(ctx, d, `{"fault":"none"}`)
+	return setPlatformFault(ctx, d, platform.FaultRequest{Fault: "none"})
 }
 
 // measureSubmission submits one manifest, waits until it is in force on all instances,
 // and returns the time that this took since the acceptance.
-func (m *Manifest) measureSubmission(ctx context.Context, d *deploy.Deployment, number int, faultBefore, faultAfter string) (time.Duration, error) {
+func (m *Manifest) measureSubmission(ctx context.Context, d *deploy.Deployment, number int, faultBefore, faultAfter platform.FaultRequest) (time.Duration, error) {
 	if err := setPlatformFault(ctx, d, faultBefore); err != nil {
 		return 0, err
 	}
@@ -82,8 +85,3 @@
 	}
 	return time.Since(acceptedAt), nil
 }
-
-// setPlatformFault sets the fault of the simulated platform, given as JSON.
-func setPlatformFault(ctx context.Context, d *deploy.Deployment, fault string) error {
-	return sendRequest(ctx, http.MethodPost, fmt.Sprintf("http://%s/admin/fault", d.PlatformAddress), []byte(fault))
-}
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -85,7 +85,7 @@
 	defer cancel()
 	conn, err := c.session.conn(ctx, c.address())
 	if err != nil {
-		c.tally.count(outcomeNotRun, connectCause(err))
+		c.count(outcomeNotRun, connectCause(err))
 		task.Sleep(offerCtx, reconnectPause)
 		return
 	}
@@ -95,7 +95,7 @@
 		err = c.write(ctx, conn)
 	}
 	result, cause := classify(err, c.kind.Access)
-	c.tally.count(result, cause)
+	c.count(result, cause)
 	if result != outcomeDone {
 		return
 	}
@@ -107,6 +107,14 @@
 	}
 }
 
+// count counts the outcome of a statement.
+func (c *client) count(result outcome, cause string) {
+	c.tally.count(result, cause)
+	if c.run.options.Observe != nil {
+		c.run.options.Observe(result == outcomeDone)
+	}
+}
+
 // address returns the address to which the next statement is sent.
 func (c *client) address() netip.AddrPort {
 	addresses := c.run.options.Addresses
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -63,6 +63,9 @@
 	SimpleProtocol bool
 	// ConsistencyCheckers is the number of clients that check read-your-writes.
 	ConsistencyCheckers int
+	// Observe, if present, is called after each statement of a client, with whether it
+	// succeeded. It must be safe for concurrent use.
+	Observe func(isDone bool)
 	// AdminAddresses are the databases' admin addresses, for the comparison.
 	AdminAddresses []netip.AddrPort
 }
