--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -25,6 +25,22 @@
 	t.Logf("write took %s, read took %s at %s", write.endedAt.Sub(write.startedAt), read.endedAt.Sub(read.startedAt), read.detail)
 }
 
+// A caller that comes to another instance without a token must read what it has written,
+// although the replicas are far behind.
+func TestReadElsewhereWithLaggingReplicas(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, d := range w.databases {
+		d.lag = 5 * time.Second
+	}
+	write := w.newRequest(w.node("i1"), "post", "entry-1", model.Token{})
+	w.run(time.Second)
+	read := w.newRequest(w.node("i2"), "check", "", model.Token{})
+	w.run(time.Second)
+	if write.result != resultDone || read.result != resultDone || len(read.returnedValues) != 1 {
+		t.Errorf("write = %s, read = %s %s, saw %v", write.result, read.result, read.detail, read.returnedValues)
+	}
+}
+
 // TestFailoverGap sends writes through three instances while the primary fails, and
 // checks the results that the callers got against the surviving log.
 func TestFailoverGap(t *testing.T) {
