Only those who may carry out a failover collect its evidence

A benchmark of the periodic tasks with 20 groups, 60 databases and 294 members: 81 us for startFailovers and 38 us for deleteExpiredMembers on an ordinary instance, 232 us and 39 us on a head, of about 0.25 ms in all tasks.

Change: an instance that neither holds the coordinator lease nor is the first returns before; no member is looked for before memberExpiry has passed.

Ruled out: the periodic tasks as the main cost. They are about 1.5 ms a second of the 25 ms that an instance uses (worked out); the rest is the cost of 130 wake-ups a second, most of them for statements.

Conclusion: a small saving, nothing else changes.

--- a/internal/node/fleet/coordinator.go
+++ b/internal/node/fleet/coordinator.go
@@ -77,6 +77,11 @@
 	f.recordHolder(view.CoordinatorLease)
 	f.clearChallenge(ctx, view.CoordinatorLease)
 	f.replaceLostHolder(ctx, view.CoordinatorLease)
+	if view.CoordinatorLease.Holder != f.options.StartID && !f.isFirst() {
+		// Only these two carry out failovers (see isCoordinator). The others need not
+		// collect the evidence about each group ten times a second.
+		return
+	}
 	for name, row := range view.Rows {
 		if ended, found := f.coordination.active[name]; found {
 			select {
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -44,6 +44,10 @@
 func (f *Fleet) deleteExpiredMembers(ctx context.Context) {
 	f.peers.mu.Lock()
 	now := clock.Now()
+	if now.Sub(f.startedAt) <= memberExpiry {
+		f.peers.mu.Unlock()
+		return
+	}
 	lastMessageAt := map[model.InstanceID]time.Time{}
 	for _, p := range f.peers.known {
 		if p.lastMessageAt.After(lastMessageAt[p.gossip.Instance]) {
@@ -52,7 +56,7 @@
 	}
 	var expired []store.Row
 	for name, m := range f.peers.members {
-		if m.Zone == f.options.Zone && now.Sub(f.startedAt) > memberExpiry && now.Sub(lastMessageAt[name]) > memberExpiry {
+		if m.Zone == f.options.Zone && now.Sub(lastMessageAt[name]) > memberExpiry {
 			expired = append(expired, store.Row{Table: groupTable, Key: memberPrefix + string(name)})
 		}
 	}
