--- a/internal/standin/drill/experiment_soak.go
+++ b/internal/standin/drill/experiment_soak.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -81,6 +82,23 @@
 	return nil
 }
 
+// baseConnections is the number of a database's connections in deploy.BaseManifest.
+const baseConnections = 20
+
+// connectionsFor returns the number of a database's connections that instances need: two
+// control connections and one for requests each, with one share that is free for an
+// instance that joins, and the share of each that was killed, which stays reserved.
+func connectionsFor(instances int) int {
+	const perInstance = 3
+	return max(baseConnections, 2*perInstance*(instances+1))
+}
+
+// soakManifest returns the base manifest with a number of connections.
+func soakManifest(connections int) string {
+	const line = "connections = %d\n"
+	return strings.Replace(deploy.BaseManifest, fmt.Sprintf(line, baseConnections), fmt.Sprintf(line, connections), 1)
+}
+
 // chosenFaults returns the faults with the given names, or all. Its error is an
 // *UnknownFaultError.
 func chosenFaults(names []string) ([]soakFault, error) {
@@ -112,11 +130,12 @@
 	instances := max(2, s.Processes-otherProcesses)
 	duration := max(time.Duration(s.Minutes*float64(time.Minute)), soakWarmUp+soakCoolDown+time.Second)
 	plan := planSoak(seed, duration, kinds, map[soakTarget]int{soakInstance: instances, soakDatabase: otherProcesses - 1, soakPlatform: 1})
+	connections := connectionsFor(instances)
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	d, err := deploy.Start(startCtx, deploy.Options{
 		Binaries: binaries, Zones: zones, Groups: []model.GroupID{group}, Instances: instances,
-		BaseManifest: deploy.BaseManifest, Linked: true,
+		BaseManifest: soakManifest(connections), DatabaseFlags: []string{"--connections", strconv.Itoa(connections)}, Linked: true,
 	})
 	if err != nil {
 		return err
@@ -305,7 +324,7 @@
 			continue
 		}
 		if r.endedBy[i] == "" {
-			r.find("%s ended by itself before %s: %s", instance.Name, at, instance.Process.LogTail())
+			r.find("%s ended by itself before %s: %v", instance.Name, at, instance.Process.Wait(context.Background()))
 			r.startDue[i] = true
 		}
 		if r.startDue[i] {
