--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -107,9 +107,9 @@
 	// the read of the table started.
 	ReadStartedAt time.Time
 	Rows          map[model.GroupID]GroupRow
-	// Odd holds the versions of the rows that could not be decoded and of which no
+	// Rejected holds the versions of the rows that could not be decoded and of which no
 	// earlier value is known.
-	Odd              map[model.GroupID]uint64
+	Rejected         map[model.GroupID]uint64
 	CoordinatorLease CoordinatorLease
 	// IsMember is true if this instance is listed among those that use leases. A view
 	// without this instance confirms nothing, since the coordinator that replaces a
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -189,7 +189,7 @@
 	read := groupRows{
 		view: lease.View{
 			Version: rows.Version, ReadStartedAt: startedAt,
-			Rows: map[model.GroupID]lease.GroupRow{}, Odd: map[model.GroupID]uint64{},
+			Rows: map[model.GroupID]lease.GroupRow{}, Rejected: map[model.GroupID]uint64{},
 		},
 		members: map[model.InstanceID]member{},
 	}
@@ -264,7 +264,7 @@
 		}
 		tx := store.Transaction{
 			Preconditions: []store.Row{{
-				Table: groupTable, Key: groupKey(group.name), Version: view.Odd[group.name],
+				Table: groupTable, Key: groupKey(group.name), Version: view.Rejected[group.name],
 			}},
 			Upserts: []store.Row{
 				{Table: groupTable, Key: groupKey(group.name), Value: f.encode(&row)},
--- a/internal/node/fleet/odd_rows_test.go
+++ b/internal/node/fleet/odd_rows_test.go
@@ -62,7 +62,7 @@
 			}
 			read := func(known groupRows) groupRows {
 				read := groupRows{
-					view:    lease.View{Rows: map[model.GroupID]lease.GroupRow{}, Odd: map[model.GroupID]uint64{}},
+					view:    lease.View{Rows: map[model.GroupID]lease.GroupRow{}, Rejected: map[model.GroupID]uint64{}},
 					members: map[model.InstanceID]member{},
 				}
 				rows := map[string][]byte{
@@ -80,7 +80,7 @@
 						Rows: map[model.GroupID]lease.GroupRow{
 							"a": {Epoch: 3, Primary: "a1", Version: 9}, "b": {Epoch: 1, Primary: "b1", Version: 9},
 						},
-						Odd:              map[model.GroupID]uint64{},
+						Rejected:         map[model.GroupID]uint64{},
 						CoordinatorLease: lease.CoordinatorLease{Holder: "x", FencingToken: 4, Version: 9},
 					},
 					members: map[model.InstanceID]member{"m": {Zone: "lanier"}},
@@ -95,7 +95,7 @@
 			want := groupRows{
 				view: lease.View{
 					Rows:             map[model.GroupID]lease.GroupRow{"b": {Epoch: 1, Primary: "b1", Version: 9}},
-					Odd:              map[model.GroupID]uint64{"a": 9},
+					Rejected:         map[model.GroupID]uint64{"a": 9},
 					CoordinatorLease: lease.CoordinatorLease{FencingToken: 9, Version: 9},
 				},
 				members: map[model.InstanceID]member{},
--- a/internal/node/fleet/stored_rows.go
+++ b/internal/node/fleet/stored_rows.go
@@ -49,7 +49,7 @@
 		if !f.decodeValue(row, &decoded) {
 			var found bool
 			if decoded, found = known.view.Rows[model.GroupID(name)]; !found {
-				view.Odd[model.GroupID(name)] = row.Version
+				view.Rejected[model.GroupID(name)] = row.Version
 				return
 			}
 		}
