--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -11,8 +11,9 @@
 //
 // The number of statements in flight to a database follows its latency (limit.go), so
 // that statements queue here, ordered by rank (queue.go), and not in the database's own
-// queue, which has no ranks. Where connections are scarce, home.go says which of them an
-// instance keeps.
+// queue, which has no ranks. Since each instance orders its own waiters only, less
+// urgent ranks also give way to others at a congested database (yield.go). Where
+// connections are scarce, home.go says which of them an instance keeps.
 //
 // # Usage
 //
