Send a statement once its connection has acknowledged the session's state

Cause: DISCARD, SET and PARSE left in one packet with the statement, and the first failure of the batch was taken for the statement's answer, although the database had run the statement behind it. The rows of TestWriteWaitsForValues were red on: the write ran twice behind a refused SET or DISCARD, and a SET answered with FAILED answered the write. So was the row of TestFaultsOfStatements in which the answer to a SET before COMMIT is lost. Ruled out: the PostgreSQL interface, which waits for a session's settings, and takes a batch behind refused group settings for an unknown outcome; the control statements, sent alone. Change: Conn.Synchronize exchanges the state, and BEGIN, before the statement is sent; a statement that was not sent is "not run" whatever the reason. The connection keeps the transaction state of its last answer, and the pool refuses one that is inside a transaction or has lost an answer. A message that answers no request ends its connection.

--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -5,8 +5,10 @@
 //
 // The input is the statements of a session, together with the session's variables
 // and prepared statements. The proxy's own statements that synchronize the
-// connection with that session state are sent ahead of them. The output is the
-// answers, each with the time at which it was received.
+// connection with that session state run first: a session's statement is sent once
+// the database has acknowledged them. What a connection is recorded to have set or
+// prepared is what the database has acknowledged. The output is the answers, each
+// with the time at which it was received.
 //
 // The Protocol that is passed to NewPool encodes and decodes the messages.
 //
@@ -14,7 +16,8 @@
 //
 //	pool := backend.NewPool(protocol)
 //	conn, err := pool.Get(ctx, database, variables)
-//	replies, err := conn.Exchange(timeout, requests)
+//	err = conn.Synchronize(timeout, backend.SessionState{Variables: variables})
+//	reply, err := conn.Run(timeout, request)
 //	pool.Put(conn)
 package backend
 
@@ -67,6 +70,9 @@
 	// Receive reads the answer to a request that was sent. It is called in the
 	// order of sending.
 	Receive(request statement.Request) (Reply, error)
+	// HasUnread reports whether data was read from the connection that belongs to no
+	// answer received so far.
+	HasUnread() bool
 }
 
 // Reply is the answer to one request, with the database's status if the request
@@ -153,9 +159,13 @@
 	return &Conn{target: target, net: dialed, codec: codec, prepared: map[string]string{}}, nil
 }
 
-// Put returns a connection to the pool. The connection must be outside any
-// transaction.
+// Put returns a connection to the pool. It closes a connection that is inside a
+// transaction or whose state is not known.
 func (p *Pool) Put(conn *Conn) {
+	if !conn.isReusable() {
+		conn.Close()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.lastUsedAt = clock.Now()
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -31,59 +31,158 @@
 	prepared  map[string]string
 	// nameCount is the number of names given to prepared statements so far. The
 	// next name is made from it.
-	nameCount  int
-	lastUsedAt time.Time
+	nameCount int
+	// transactionState is that of the last answer.
+	transactionState statement.TransactionState
+	// isStateUnknown is set once the variables or prepared statements of the
+	// connection may differ from those recorded here, or an answer was not read.
+	isStateUnknown bool
+	lastUsedAt     time.Time
 }
 
 // Target returns the database at the other end.
 func (c *Conn) Target() placement.Database { return c.target }
 
-// Exchange sends requests together and reads their answers. timeout bounds the
-// whole exchange, by the process's own clock. After a failure it returns the
-// replies read so far along with the error, which is a *ConnectionLostError.
-func (c *Conn) Exchange(timeout time.Duration, requests []statement.Request) ([]Reply, error) {
+// Run sends a request and returns its answer. timeout bounds the exchange, by the
+// process's own clock. Its error is a *ConnectionLostError.
+func (c *Conn) Run(timeout time.Duration, request statement.Request) (*Reply, error) {
+	replies, err := c.exchange(timeout, []statement.Request{request})
+	if err != nil {
+		return nil, err
+	}
+	reply := &replies[0]
+	if reply.Failure != nil && reply.Failure.Code == statement.CodePreparedStatementNotFound {
+		c.isStateUnknown = true
+	}
+	return reply, nil
+}
+
+// exchange sends requests together and reads their answers. After a failure it
+// returns the replies read so far along with the error.
+func (c *Conn) exchange(timeout time.Duration, requests []statement.Request) ([]Reply, error) {
+	replies := make([]Reply, 0, len(requests))
+	lost := func(cause error) ([]Reply, error) {
+		c.isStateUnknown = true
+		return replies, &ConnectionLostError{Database: c.target.ID, Cause: cause}
+	}
+	if c.codec.HasUnread() {
+		return lost(&UnexpectedMessageError{})
+	}
 	if err := c.net.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, &ConnectionLostError{Database: c.target.ID, Cause: err}
+		return lost(err)
 	}
 	if err := c.codec.Send(requests); err != nil {
-		return nil, &ConnectionLostError{Database: c.target.ID, Cause: err}
+		return lost(err)
 	}
-	replies := make([]Reply, 0, len(requests))
 	for _, request := range requests {
 		reply, err := c.codec.Receive(request)
 		if err != nil {
-			return replies, &ConnectionLostError{Database: c.target.ID, Cause: err}
+			return lost(err)
 		}
 		reply.ReceivedAt = clock.Now()
+		c.transactionState = reply.TransactionState
 		replies = append(replies, reply)
 	}
 	return replies, nil
 }
 
-// SyncVariables returns the requests that set the given variables on the
-// connection, and records them as carried out: if one of them fails, the
-// connection has to be closed. The connection is reset first if it has other
-// variables, or if it has maxPreparedStatements prepared statements, which the
-// reset removes too. Inside a transaction the connection is not reset, which is safe
-// because a session can't remove a variable there.
-func (c *Conn) SyncVariables(variables Variables, inTransaction bool) []statement.Request {
+// NeedsRollback reports whether a transaction has to be rolled back before another
+// session may use the connection. A connection whose state is not known is closed
+// instead, which rolls back too.
+func (c *Conn) NeedsRollback() bool { return c.inTransaction() && !c.isStateUnknown }
+
+func (c *Conn) inTransaction() bool { return c.transactionState != statement.TransactionStateIdle }
+
+// isReusable reports whether another session may use the connection.
+func (c *Conn) isReusable() bool { return !c.isStateUnknown && !c.inTransaction() }
+
+// -----------------------------------------------------------------------------
+// Synchronization with the state of a session.
+
+// SessionState is the state that a connection must have for a session's next
+// statement.
+type SessionState struct {
+	Variables Variables
+	// Prepared is the prepared statement that the statement executes, or nil.
+	Prepared *statement.Prepare
+	// Begin opens the transaction to which the statement belongs. It is nil if the
+	// transaction is open already, and for a statement outside any.
+	Begin *statement.Request
+}
+
+// Synchronize brings the connection into the given state, and returns once the
+// database has acknowledged all of it. The session's statement must not be sent
+// before: a database may refuse any request and run the next one. The connection is
+// reset first if it has other variables, or if it has maxPreparedStatements prepared
+// statements, which the reset removes too. Inside a transaction the connection is
+// not reset, which is safe because a session can't remove a variable there.
+// Its error is a *SyncError.
+func (c *Conn) Synchronize(timeout time.Duration, wanted SessionState) error {
+	requests := c.missing(wanted)
+	if len(requests) == 0 {
+		return nil
+	}
+	for _, request := range requests {
+		c.record(request.Statement)
+	}
+	replies, err := c.exchange(timeout, requests)
+	var refusal *Reply
+	for i := range replies {
+		if replies[i].Failure != nil && refusal == nil {
+			refusal = &replies[i]
+		}
+	}
+	switch {
+	case err != nil:
+		return &SyncError{Cause: err}
+	case refusal != nil:
+		return &SyncError{Refusal: refusal, Cause: refusal.Failure}
+	default:
+		return nil
+	}
+}
+
+// missing returns the requests that bring the connection into the given state.
+func (c *Conn) missing(wanted SessionState) []statement.Request {
 	var requests []statement.Request
-	if !inTransaction && (c.hasExtraVariables(variables) || len(c.prepared) >= maxPreparedStatements) {
+	variables, prepared := c.variables, c.prepared
+	if !c.inTransaction() && (c.hasExtraVariables(wanted.Variables) || len(c.prepared) >= maxPreparedStatements) {
 		requests = append(requests, statement.Request{Statement: statement.Discard{}})
-		clear(c.prepared)
-		c.variables = nil
+		variables, prepared = nil, nil
+	}
+	for name, value := range wanted.Variables {
+		if current, found := variables[name]; !found || current != value {
+			requests = append(requests, statement.Request{Statement: statement.Set{Name: name, Value: value}})
+		}
 	}
-	for name, value := range variables {
-		if current, found := c.variables[name]; found && current == value {
-			continue
+	if wanted.Prepared != nil {
+		if _, found := prepared[preparedKey(wanted.Prepared.Access, wanted.Prepared.Template)]; !found {
+			c.nameCount++
+			requests = append(requests, statement.Request{Statement: statement.Prepare{
+				Name: "s" + strconv.Itoa(c.nameCount), Access: wanted.Prepared.Access, Template: wanted.Prepared.Template,
+			}})
 		}
+	}
+	if wanted.Begin != nil {
+		requests = append(requests, *wanted.Begin)
+	}
+	return requests
+}
+
+// record notes a change of the connection's state.
+func (c *Conn) record(s statement.Statement) {
+	switch s := s.(type) {
+	case statement.Discard:
+		clear(c.prepared)
+		c.variables = nil
+	case statement.Set:
 		if c.variables == nil {
 			c.variables = Variables{}
 		}
-		c.variables[name] = value
-		requests = append(requests, statement.Request{Statement: statement.Set{Name: name, Value: value}})
+		c.variables[s.Name] = s.Value
+	case statement.Prepare:
+		c.prepared[preparedKey(s.Access, s.Template)] = s.Name
 	}
-	return requests
 }
 
 // hasExtraVariables reports whether a variable is set on the connection that is not
@@ -97,19 +196,19 @@
 	return false
 }
 
-// EnsurePrepared returns the name of a prepared statement on the connection, and
-// the request that prepares it if the connection does not have it yet.
-func (c *Conn) EnsurePrepared(prepare statement.Prepare) (string, []statement.Request) {
-	key := strconv.Itoa(int(prepare.Access)) + prepare.Template
-	if name, found := c.prepared[key]; found {
-		return name, nil
-	}
-	c.nameCount++
-	name := "s" + strconv.Itoa(c.nameCount)
-	c.prepared[key] = name
-	return name, []statement.Request{{Statement: statement.Prepare{Name: name, Access: prepare.Access, Template: prepare.Template}}}
+// PreparedName returns the name of a prepared statement on a connection that is
+// synchronized with it.
+func (c *Conn) PreparedName(prepare statement.Prepare) string {
+	return c.prepared[preparedKey(prepare.Access, prepare.Template)]
 }
 
+func preparedKey(access model.Access, template string) string {
+	return strconv.Itoa(int(access)) + template
+}
+
+// -----------------------------------------------------------------------------
+// The end of a connection.
+
 // Close closes the connection at once. The database then rolls back an open
 // transaction.
 func (c *Conn) Close() { _ = c.net.Close() }
@@ -118,6 +217,9 @@
 // An open idle connection has nothing to read, so that data or end of file in the
 // receive buffer means that the connection can't be used.
 func (c *Conn) isOpen() bool {
+	if c.codec.HasUnread() {
+		return false
+	}
 	// The deadline of the last exchange may have passed, which would fail the read.
 	if c.net.SetDeadline(time.Time{}) != nil {
 		return false
@@ -176,3 +278,29 @@
 	var netErr net.Error
 	return errors.As(e.Cause, &netErr) && netErr.Timeout()
 }
+
+// SyncError reports that a connection could not be brought into the state of a
+// session, so that the session's statement was not sent.
+type SyncError struct {
+	// Refusal is the first answer with a failure. It is nil if the connection was
+	// lost.
+	Refusal *Reply
+	// Cause is a *ConnectionLostError, or the failure of Refusal.
+	Cause error
+}
+
+// Error implements error.
+func (e *SyncError) Error() string {
+	return "the connection could not be synchronized with the session: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SyncError) Unwrap() error { return e.Cause }
+
+// UnexpectedMessageError reports a message of a database that answers no request.
+type UnexpectedMessageError struct{}
+
+// Error implements error.
+func (e *UnexpectedMessageError) Error() string {
+	return "the database sent a message that answers no request"
+}
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -41,6 +41,9 @@
 	return Reply{Answer: statement.Answer{Signature: line}}, err
 }
 
+// HasUnread implements Codec.
+func (c *lineCodec) HasUnread() bool { return c.reader.Buffered() > 0 }
+
 // startEchoServer starts a server that sends each line back. It returns the
 // server's address and a function that closes the next accepted connection, in the
 // order of acceptance.
@@ -96,7 +99,7 @@
 				t.Fatal(err)
 			}
 			const timeout = 50 * time.Millisecond
-			if _, err := conn.Exchange(timeout, []statement.Request{{ID: "1"}}); err != nil {
+			if _, err := conn.Run(timeout, statement.Request{ID: "1"}); err != nil {
 				t.Fatal(err)
 			}
 			pool.Put(conn)
@@ -130,7 +133,7 @@
 		t.Fatalf("the idle connection was not reused: %v", err)
 	}
 	time.Sleep(2 * scarceIdleTimeout)
-	if _, err := conn.Exchange(time.Second, []statement.Request{{ID: "1"}}); err != nil {
+	if _, err := conn.Run(time.Second, statement.Request{ID: "1"}); err != nil {
 		t.Fatalf("the connection was closed while in use: %v", err)
 	}
 	pool.Put(conn)
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -137,53 +137,53 @@
 	return fallback
 }
 
-// sendStatement sends a statement, preceded by the requests that synchronize the
-// connection with the session, and returns the reply to it. A nil reply means that
-// the connection was lost. With begin, the transaction is opened in an exchange of
-// its own, and a failure of it is returned in place of the statement's reply: if
-// both were sent together and the database refused BEGIN, the statement would run
-// outside a transaction.
+// sendStatement synchronizes the connection with the session, and then sends a
+// statement and returns the reply to it. begin opens the transaction to which the
+// statement belongs, unless it is nil. Without a reply, the error is a
+// *backend.SyncError if the statement was not sent, and otherwise a
+// *backend.ConnectionLostError.
 func (s *session) sendStatement(req *pendingRequest, att *attempt, begin *statement.Request, timeout time.Duration) (*backend.Reply, error) {
-	inTransaction := begin == nil && s.transaction != nil
-	requests := att.conn.SyncVariables(s.variables, inTransaction)
+	state := backend.SessionState{Variables: s.variables, Begin: begin}
+	execute, isExecute := req.Statement.(statement.Execute)
+	if isExecute {
+		prepared := s.prepared[execute.Name]
+		state.Prepared = &prepared
+	}
 	att.sentAt = clock.Now()
-	if begin != nil {
-		beginReply, err := exchange(att.conn, append(requests, *begin), timeout)
-		if err != nil || beginReply.Failure != nil {
-			return beginReply, err
-		}
-		timeout -= clock.Since(att.sentAt)
-		requests = nil
+	if err := att.conn.Synchronize(timeout, state); err != nil {
+		return nil, err
 	}
-	toSend := req.Statement
-	if execute, isExecute := toSend.(statement.Execute); isExecute {
-		name, prepare := att.conn.EnsurePrepared(s.prepared[execute.Name])
-		requests = append(requests, prepare...)
-		toSend = statement.Execute{Name: name, Arguments: execute.Arguments}
+	request := statement.Request{ID: req.ID, Statement: req.Statement}
+	if isExecute {
+		request.Statement = statement.Execute{Name: att.conn.PreparedName(*state.Prepared), Arguments: execute.Arguments}
 	}
-	request := statement.Request{ID: req.ID, Statement: toSend}
 	if s.transaction == nil {
 		request.MinPosition = att.reservation.MinPosition
 	}
-	return exchange(att.conn, append(requests, request), timeout)
+	return att.conn.Run(timeout-clock.Since(att.sentAt), request)
 }
 
-// exchange sends requests together and returns the reply to the last one, or to the
-// first that failed: a request after a failed one did not run in the intended
-// state of the connection.
-func exchange(conn *backend.Conn, requests []statement.Request, timeout time.Duration) (*backend.Reply, error) {
-	replies, err := conn.Exchange(timeout, requests)
-	for i := range replies {
-		if replies[i].Failure != nil || i == len(requests)-1 {
-			return &replies[i], nil
-		}
+// notSent returns the failure for a statement that was not sent because its connection
+// could not be synchronized with the session, or nil for any other error. The failure
+// guarantees that nothing was kept, whatever the refused request's own code is.
+func notSent(err error) *statement.FailureError {
+	var syncErr *backend.SyncError
+	if !errors.As(err, &syncErr) {
+		return nil
 	}
-	return nil, err
+	if refusal := syncErr.Refusal; refusal != nil && refusal.Failure.Code.GuaranteesNotExecuted() && refusal.Failure.Code != statement.CodePreparedStatementNotFound {
+		return refusal.Failure
+	}
+	return &statement.FailureError{Code: statement.CodeAborted, Message: syncErr.Error()}
 }
 
 // reportOutcome reports the outcome of an attempt's statement to the scheduler.
 // isWrite is set for a statement that only a primary carries out.
 func (s *session) reportOutcome(att *attempt, isWrite bool, reply *backend.Reply, err error) {
+	var syncErr *backend.SyncError
+	if errors.As(err, &syncErr) {
+		reply = syncErr.Refusal
+	}
 	result := placement.Result{Outcome: placement.OutcomeAnswered, Elapsed: clock.Since(att.sentAt)}
 	switch {
 	case reply == nil:
@@ -209,14 +209,9 @@
 	s.server.options.Scheduler.FinishStatement(att.reservation, result)
 }
 
-// endAttempt releases an attempt's reservation. Its connection returns to the pool if
-// it is reusable, and is closed otherwise.
-func (s *session) endAttempt(att *attempt, reusable bool) {
-	if reusable {
-		s.server.options.Pool.Put(att.conn)
-	} else {
-		att.conn.Close()
-	}
+// endAttempt releases an attempt's reservation, and returns its connection to the pool.
+func (s *session) endAttempt(att *attempt) {
+	s.server.options.Pool.Put(att.conn)
 	s.server.options.Scheduler.Release(att.reservation)
 }
 
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -90,14 +90,13 @@
 	}
 	reply, err := s.sendStatement(req, att, nil, timeout)
 	s.reportOutcome(att, isWrite, reply, err)
+	s.endAttempt(att)
+	if failure := notSent(err); failure != nil {
+		return conclusion{retry: true, reason: failure}
+	}
 	if reply == nil {
-		s.endAttempt(att, false)
 		return s.concludeLost(req, att, isWrite, err)
 	}
-	// The connection is closed if the database does not have a prepared statement
-	// that the connection should have.
-	reusable := reply.TransactionState == statement.TransactionStateIdle && (reply.Failure == nil || reply.Failure.Code != statement.CodePreparedStatementNotFound)
-	s.endAttempt(att, reusable)
 	if reply.Failure != nil {
 		return s.concludeFailure(req, att, reply, isWrite)
 	}
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -95,17 +95,19 @@
 			t.sentWrite = isWrite
 			reply, err := s.sendStatement(req, att, &begin, req.remaining())
 			s.reportOutcome(att, isWrite, reply, err)
-			if reply == nil || reply.Failure == nil || !reply.Failure.Code.GuaranteesNotExecuted() {
-				return s.concludeInTransaction(req, reply, err, true)
+			if failure = notSent(err); failure == nil {
+				if reply == nil || reply.Failure == nil || !reply.Failure.Code.GuaranteesNotExecuted() {
+					return s.concludeInTransaction(req, reply, err, true)
+				}
+				failure = reply.Failure
 			}
-			failure = reply.Failure
-			s.endUnexecuted(att, reply)
+			s.rollBackAttempt(att)
 			t.attempt = nil
 			s.logRetry(req, att.reservation, failure.Error())
 			requirements.ExcludedDatabases = append(requirements.ExcludedDatabases, att.reservation.Database.ID)
 		}
 		if !s.mayRetry(req) {
-			return s.failTransaction(req, notExecuted(failure))
+			return s.concludeNotSent(req, notExecuted(failure))
 		}
 		if requirements.RequiresPrimary {
 			s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
@@ -120,6 +122,9 @@
 func (s *session) concludeInTransaction(req *pendingRequest, reply *backend.Reply, err error, isFirst bool) statement.Answer {
 	t := s.transaction
 	_, isCommit := req.Statement.(statement.Commit)
+	if failure := notSent(err); failure != nil {
+		return s.concludeNotSent(req, failure)
+	}
 	if reply == nil {
 		return s.concludeLostInTransaction(req, isCommit, err)
 	}
@@ -151,6 +156,17 @@
 	return answer
 }
 
+// concludeNotSent answers a statement that no database has run. The transaction is
+// rolled back, and a COMMIT ends it.
+func (s *session) concludeNotSent(req *pendingRequest, failure *statement.FailureError) statement.Answer {
+	answer := s.failTransaction(req, failure)
+	if _, isCommit := req.Statement.(statement.Commit); isCommit {
+		s.transaction = nil
+		answer.TransactionState = statement.TransactionStateIdle
+	}
+	return answer
+}
+
 // concludeLostInTransaction answers a statement whose answer was lost. The outcome is
 // unknown only for the COMMIT of a transaction with writes: before its COMMIT a
 // transaction has changed nothing.
@@ -187,7 +203,7 @@
 	s.transaction = nil
 	answer.TransactionState = statement.TransactionStateIdle
 	att := t.attempt
-	s.endAttempt(att, reply.TransactionState == statement.TransactionStateIdle)
+	s.endAttempt(att)
 	if !t.sentWrite {
 		s.logAnswer(req, att, reply, "reads only")
 		return answer
@@ -228,7 +244,7 @@
 // closeTransactionConn closes the connection of the transaction, so that the database
 // rolls it back.
 func (s *session) closeTransactionConn() {
-	s.endAttempt(s.transaction.attempt, false)
+	s.closeAttempt(s.transaction.attempt)
 	s.transaction.attempt = nil
 }
 
@@ -247,22 +263,26 @@
 		event.F("request", ""), event.F("route", t.route.Name), event.F("database", id), event.F("why", reason))
 }
 
-// endUnexecuted ends an attempt whose first statement was not executed. It rolls back
-// a transaction that is still open. The connection is closed if the database does
-// not have a prepared statement that the connection should have.
-func (s *session) endUnexecuted(att *attempt, reply *backend.Reply) {
-	if reply.Failure.Code == statement.CodePreparedStatementNotFound || reply.TransactionState == statement.TransactionStateIdle {
-		s.endAttempt(att, reply.Failure.Code != statement.CodePreparedStatementNotFound)
+// rollBackAttempt ends an attempt, and rolls back the transaction that is open on its
+// connection. The rollback runs in the background, so that the caller does not wait
+// for it.
+func (s *session) rollBackAttempt(att *attempt) {
+	if !att.conn.NeedsRollback() {
+		s.endAttempt(att)
 		return
 	}
-	s.rollBackAttempt(att)
-}
-
-// rollBackAttempt rolls back the transaction on an attempt's connection and ends the
-// attempt. It runs in the background, so that the caller does not wait for it.
-func (s *session) rollBackAttempt(att *attempt) {
 	s.server.spawn(func() {
-		replies, err := att.conn.Exchange(rollbackTimeout, []statement.Request{{Statement: statement.Rollback{}}})
-		s.endAttempt(att, err == nil && len(replies) == 1 && replies[0].Failure == nil && replies[0].TransactionState == statement.TransactionStateIdle)
+		reply, err := att.conn.Run(rollbackTimeout, statement.Request{Statement: statement.Rollback{}})
+		if err != nil || reply.Failure != nil {
+			s.closeAttempt(att)
+			return
+		}
+		s.endAttempt(att)
 	})
 }
+
+// closeAttempt ends an attempt and closes its connection.
+func (s *session) closeAttempt(att *attempt) {
+	att.conn.Close()
+	s.server.options.Scheduler.Release(att.reservation)
+}
--- a/internal/node/fleet/control.go
+++ b/internal/node/fleet/control.go
@@ -58,19 +58,19 @@
 		f.logControl(d, s, statement.ServerStatus{}, err)
 		return statement.ServerStatus{}, err
 	}
-	replies, err := conn.Exchange(controlTimeout, []statement.Request{{Statement: s}})
+	reply, err := conn.Run(controlTimeout, statement.Request{Statement: s})
 	if err != nil {
 		conn.Close()
 		f.logControl(d, s, statement.ServerStatus{}, err)
 		return statement.ServerStatus{}, err
 	}
 	f.Pool.Put(conn)
-	if failure := replies[0].Failure; failure != nil {
+	if failure := reply.Failure; failure != nil {
 		f.logControl(d, s, statement.ServerStatus{}, failure)
 		return statement.ServerStatus{}, failure
 	}
-	f.logControl(d, s, replies[0].ServerStatus, nil)
-	return replies[0].ServerStatus, nil
+	f.logControl(d, s, reply.ServerStatus, nil)
+	return reply.ServerStatus, nil
 }
 
 func (f *Fleet) logControl(
