Record a connection's values once the database has acknowledged them

Cause: the values of a connection were recorded when SET and DISCARD were sent. Their refusal inside a transaction returned the connection to the pool with the wrong record. Ruled out: the PostgreSQL interface, which resets a connection after a refused setting. Change: Conn.record is called for each acknowledged request. A request that may have run although it failed leaves the state of the connection unknown; the pool closes it.

--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -26,7 +26,8 @@
 	net    net.Conn
 	codec  Codec
 	// variables are those set on the connection. prepared maps each prepared
-	// access and template to the statement's name on the connection.
+	// access and template to the statement's name on the connection. The
+	// variables are those that the database has acknowledged.
 	variables Variables
 	prepared  map[string]string
 	// nameCount is the number of names given to prepared statements so far. The
@@ -123,12 +124,21 @@
 		return nil
 	}
 	for _, request := range requests {
-		c.record(request.Statement)
+		if prepare, isPrepare := request.Statement.(statement.Prepare); isPrepare {
+			c.prepared[preparedKey(prepare.Access, prepare.Template)] = prepare.Name
+		}
 	}
 	replies, err := c.exchange(timeout, requests)
 	var refusal *Reply
 	for i := range replies {
-		if replies[i].Failure != nil && refusal == nil {
+		switch failure := replies[i].Failure; {
+		case failure == nil:
+			c.record(requests[i].Statement)
+			continue
+		case !failure.Code.GuaranteesNotExecuted():
+			c.isStateUnknown = true
+		}
+		if refusal == nil {
 			refusal = &replies[i]
 		}
 	}
@@ -169,7 +179,8 @@
 	return requests
 }
 
-// record notes a change of the connection's state.
+// record notes a change of the connection's state that the database has
+// acknowledged.
 func (c *Conn) record(s statement.Statement) {
 	switch s := s.(type) {
 	case statement.Discard:
--- a/internal/edge/backend/conn_test.go
+++ b/internal/edge/backend/conn_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 )
@@ -67,6 +71,72 @@
 	return conn, codec
 }
 
+var scriptedPrepare = statement.Prepare{Name: "caller's name", Access: model.AccessRead, Template: "q2c"}
+
+// Guards against a connection whose recorded state is what was sent, not what the
+// database has acknowledged: the next statement on it would run with another session's
+// values, or with a prepared statement that does not exist.
+func TestStateIsRecordedOnceAcknowledged(t *testing.T) {
+	begin := &statement.Request{Statement: statement.Begin{}}
+	set := statement.Set{Name: "zone", Value: "savannah"}
+	// isReusable is whether the pool keeps the connection; sentNext is what the next
+	// synchronization with the same state sends.
+	type result struct {
+		isRefused, isReusable bool
+		sentNext              []statement.Statement
+	}
+	for name, c := range map[string]struct {
+		wanted   SessionState
+		refusals map[int]statement.Code
+		lostFrom int
+		want     result
+	}{
+		"all acknowledged": {
+			wanted: SessionState{Variables: Variables{"zone": "savannah"}, Prepared: &scriptedPrepare},
+			want:   result{isReusable: true},
+		},
+		"a value is refused": {
+			wanted:   SessionState{Variables: Variables{"zone": "savannah"}, Prepared: &scriptedPrepare},
+			refusals: map[int]statement.Code{0: statement.CodeNotPrimary},
+			want:     result{isRefused: true, isReusable: true, sentNext: []statement.Statement{set}},
+		},
+		"a reset is refused": {
+			wanted:   SessionState{Variables: Variables{"fleet": "b"}},
+			refusals: map[int]statement.Code{0: statement.CodeBusy},
+			want: result{isRefused: true, isReusable: true, sentNext: []statement.Statement{
+				statement.Discard{}, statement.Set{Name: "fleet", Value: "b"},
+			}},
+		},
+		"a value is refused before BEGIN": {
+			wanted:   SessionState{Variables: Variables{"zone": "savannah"}, Begin: begin},
+			refusals: map[int]statement.Code{0: statement.CodeBusy},
+			want:     result{isRefused: true, sentNext: []statement.Statement{set, statement.Begin{}}},
+		},
+		"a value may have been set": {
+			wanted:   SessionState{Variables: Variables{"zone": "savannah"}},
+			refusals: map[int]statement.Code{0: statement.CodeTimeout},
+			want:     result{isRefused: true, sentNext: []statement.Statement{set}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, codec := newScriptedConn(t)
+			codec.refusals, codec.lostFrom = c.refusals, c.lostFrom
+			err := conn.Synchronize(time.Second, c.wanted)
+			var syncErr *SyncError
+			got := result{isRefused: errors.As(err, &syncErr), isReusable: conn.isReusable()}
+			sentBefore := len(codec.sent)
+			codec.refusals, codec.lostFrom = nil, 0
+			if err := conn.Synchronize(time.Second, c.wanted); err != nil {
+				t.Fatal(err)
+			}
+			got.sentNext = codec.sent[sentBefore:]
+			if diff := cmp.Diff(c.want, got, cmp.AllowUnexported(result{}), cmpopts.EquateEmpty()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // Guards against reusing a connection to a database that does not have a prepared
 // statement which the connection should have, whatever the statement's transaction: each
 // further use of the name would fail too.
