Record a prepared statement once the database has acknowledged it

Cause: the name was recorded when PARSE was sent, and NOSTMT inside a transaction returned the connection to the pool. Ruled out: a name that stands for another shape: names are never used twice on a connection. Change: PARSE is recorded with its answer like SET and DISCARD. A transaction whose database has lost an acknowledged name is answered with ABORTED instead of NOSTMT, since its caller may repeat it.

--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -26,8 +26,8 @@
 	net    net.Conn
 	codec  Codec
 	// variables are those set on the connection. prepared maps each prepared
-	// access and template to the statement's name on the connection. The
-	// variables are those that the database has acknowledged.
+	// access and template to the statement's name on the connection. Both hold what
+	// the database has acknowledged.
 	variables Variables
 	prepared  map[string]string
 	// nameCount is the number of names given to prepared statements so far. The
@@ -123,11 +123,6 @@
 	if len(requests) == 0 {
 		return nil
 	}
-	for _, request := range requests {
-		if prepare, isPrepare := request.Statement.(statement.Prepare); isPrepare {
-			c.prepared[preparedKey(prepare.Access, prepare.Template)] = prepare.Name
-		}
-	}
 	replies, err := c.exchange(timeout, requests)
 	var refusal *Reply
 	for i := range replies {
--- a/internal/edge/backend/conn_test.go
+++ b/internal/edge/backend/conn_test.go
@@ -100,6 +100,13 @@
 			refusals: map[int]statement.Code{0: statement.CodeNotPrimary},
 			want:     result{isRefused: true, isReusable: true, sentNext: []statement.Statement{set}},
 		},
+		"a preparation is refused": {
+			wanted:   SessionState{Variables: Variables{"zone": "savannah"}, Prepared: &scriptedPrepare},
+			refusals: map[int]statement.Code{1: statement.CodeBusy},
+			want: result{isRefused: true, isReusable: true, sentNext: []statement.Statement{
+				statement.Prepare{Name: "s2", Access: model.AccessRead, Template: "q2c"},
+			}},
+		},
 		"a reset is refused": {
 			wanted:   SessionState{Variables: Variables{"fleet": "b"}},
 			refusals: map[int]statement.Code{0: statement.CodeBusy},
@@ -117,6 +124,13 @@
 			refusals: map[int]statement.Code{0: statement.CodeTimeout},
 			want:     result{isRefused: true, sentNext: []statement.Statement{set}},
 		},
+		"an answer is lost": {
+			wanted:   SessionState{Variables: Variables{"zone": "savannah"}, Prepared: &scriptedPrepare},
+			lostFrom: 1,
+			want: result{isRefused: true, sentNext: []statement.Statement{
+				statement.Prepare{Name: "s2", Access: model.AccessRead, Template: "q2c"},
+			}},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, codec := newScriptedConn(t)
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -132,6 +132,10 @@
 		if isCommit {
 			return s.concludeFailedCommit(req, reply)
 		}
+		if reply.Failure.Code == statement.CodePreparedStatementNotFound {
+			// The session has the name: the database has lost it.
+			return s.failTransaction(req, &statement.FailureError{Code: statement.CodeAborted, Message: reply.Failure.Error()})
+		}
 		return s.failTransaction(req, reply.Failure)
 	}
 	answer := statement.Answer{Rows: reply.Rows, Signature: reply.Signature, TransactionState: statement.TransactionStateOpen}
