Answer the requests that are under way when an instance ends

Cause: after SIGTERM, transactions went on with new statements until the process ended, and its end closed the connections of the statements under way. In the users' record the connection ends in the same instant as the links between instances. Ruled out: single statements, none of which is accepted after 2.7 s; the closing of idle sessions, which cut no request that had been passed on. A session that is to be closed serves a request that has arrived; a caller that connects during the drain is refused with BUSY instead of accepted and closed.

--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -16,8 +16,8 @@
 //
 //	pool := backend.NewPool(protocol)
 //	conn, err := pool.Get(ctx, database, variables)
-//	err = conn.Synchronize(timeout, backend.SessionState{Variables: variables})
-//	reply, err := conn.Run(timeout, request)
+//	err = conn.Synchronize(ctx, timeout, backend.SessionState{Variables: variables})
+//	reply, err := conn.Run(ctx, timeout, request)
 //	pool.Put(conn)
 package backend
 
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"net"
@@ -45,9 +46,9 @@
 func (c *Conn) Target() placement.Database { return c.target }
 
 // Run sends a request and returns its answer. timeout bounds the exchange, by the
-// process's own clock. Its error is a *ConnectionLostError.
-func (c *Conn) Run(timeout time.Duration, request statement.Request) (*Reply, error) {
-	replies, err := c.exchange(timeout, []statement.Request{request})
+// process's own clock, and so does the end of ctx. Its error is a *ConnectionLostError.
+func (c *Conn) Run(ctx context.Context, timeout time.Duration, request statement.Request) (*Reply, error) {
+	replies, err := c.exchange(ctx, timeout, []statement.Request{request})
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +61,7 @@
 
 // exchange sends requests together and reads their answers. After a failure it
 // returns the replies read so far along with the error.
-func (c *Conn) exchange(timeout time.Duration, requests []statement.Request) ([]Reply, error) {
+func (c *Conn) exchange(ctx context.Context, timeout time.Duration, requests []statement.Request) ([]Reply, error) {
 	replies := make([]Reply, 0, len(requests))
 	lost := func(cause error) ([]Reply, error) {
 		c.isStateUnknown = true
@@ -72,6 +73,13 @@
 	if err := c.net.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return lost(err)
 	}
+	stopInterrupt := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	defer func() {
+		if !stopInterrupt() {
+			// The deadline may be changed at any moment.
+			c.isStateUnknown = true
+		}
+	}()
 	if err := c.codec.Send(requests); err != nil {
 		return lost(err)
 	}
@@ -118,12 +126,12 @@
 // statements, which the reset removes too. Inside a transaction the connection is
 // not reset, which is safe because a session can't remove a variable there.
 // Its error is a *SyncError.
-func (c *Conn) Synchronize(timeout time.Duration, wanted SessionState) error {
+func (c *Conn) Synchronize(ctx context.Context, timeout time.Duration, wanted SessionState) error {
 	requests := c.missing(wanted)
 	if len(requests) == 0 {
 		return nil
 	}
-	replies, err := c.exchange(timeout, requests)
+	replies, err := c.exchange(ctx, timeout, requests)
 	var refusal *Reply
 	for i := range replies {
 		switch failure := replies[i].Failure; {
--- a/internal/edge/backend/conn_test.go
+++ b/internal/edge/backend/conn_test.go
@@ -63,7 +63,7 @@
 		_ = far.Close()
 	})
 	conn := &Conn{target: placement.Database{ID: "a"}, net: near, codec: &scriptedCodec{}, prepared: map[string]string{}}
-	if err := conn.Synchronize(time.Second, SessionState{Variables: Variables{"zone": "lanier"}}); err != nil {
+	if err := conn.Synchronize(t.Context(), time.Second, SessionState{Variables: Variables{"zone": "lanier"}}); err != nil {
 		t.Fatal(err)
 	}
 	codec := &scriptedCodec{}
@@ -135,12 +135,12 @@
 		t.Run(name, func(t *testing.T) {
 			conn, codec := newScriptedConn(t)
 			codec.refusals, codec.lostFrom = c.refusals, c.lostFrom
-			err := conn.Synchronize(time.Second, c.wanted)
+			err := conn.Synchronize(t.Context(), time.Second, c.wanted)
 			var syncErr *SyncError
 			got := result{isRefused: errors.As(err, &syncErr), isReusable: conn.isReusable()}
 			sentBefore := len(codec.sent)
 			codec.refusals, codec.lostFrom = nil, 0
-			if err := conn.Synchronize(time.Second, c.wanted); err != nil {
+			if err := conn.Synchronize(t.Context(), time.Second, c.wanted); err != nil {
 				t.Fatal(err)
 			}
 			got.sentNext = codec.sent[sentBefore:]
@@ -157,7 +157,7 @@
 func TestUnknownPreparedStatementEndsConnection(t *testing.T) {
 	conn, codec := newScriptedConn(t)
 	codec.refusals = map[int]statement.Code{0: statement.CodePreparedStatementNotFound}
-	if _, err := conn.Run(time.Second, statement.Request{Statement: statement.Execute{Name: "s1"}}); err != nil {
+	if _, err := conn.Run(t.Context(), time.Second, statement.Request{Statement: statement.Execute{Name: "s1"}}); err != nil {
 		t.Fatal(err)
 	}
 	if conn.isReusable() {
@@ -169,7 +169,7 @@
 func TestUnexpectedMessageEndsConnection(t *testing.T) {
 	conn, codec := newScriptedConn(t)
 	codec.hasUnread = true
-	_, err := conn.Run(time.Second, statement.Request{Statement: statement.Write{Text: "WRITE boat 7"}})
+	_, err := conn.Run(t.Context(), time.Second, statement.Request{Statement: statement.Write{Text: "WRITE boat 7"}})
 	var unexpected *UnexpectedMessageError
 	if !errors.As(err, &unexpected) || len(codec.sent) > 0 || conn.isOpen() || conn.isReusable() {
 		t.Errorf("error %v, %d requests sent, open: %v", err, len(codec.sent), conn.isOpen())
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -99,7 +99,7 @@
 				t.Fatal(err)
 			}
 			const timeout = 50 * time.Millisecond
-			if _, err := conn.Run(timeout, statement.Request{ID: "1"}); err != nil {
+			if _, err := conn.Run(t.Context(), timeout, statement.Request{ID: "1"}); err != nil {
 				t.Fatal(err)
 			}
 			pool.Put(conn)
@@ -133,7 +133,7 @@
 		t.Fatalf("the idle connection was not reused: %v", err)
 	}
 	time.Sleep(2 * scarceIdleTimeout)
-	if _, err := conn.Run(time.Second, statement.Request{ID: "1"}); err != nil {
+	if _, err := conn.Run(t.Context(), time.Second, statement.Request{ID: "1"}); err != nil {
 		t.Fatalf("the connection was closed while in use: %v", err)
 	}
 	pool.Put(conn)
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -28,6 +28,9 @@
 	// retryAfterText gives the time after which a caller whose statement was not
 	// admitted should retry: about a dozen statements have ended by then.
 	retryAfterText = "retry after 250 ms"
+	// shuttingDownText is the message for a caller that has to connect to another
+	// instance. It may do so at once.
+	shuttingDownText = "this instance is shutting down; connect again"
 	// minRetryAfter and maxRetryAfter bound the time after which a caller whose
 	// statement was rejected for its expected wait should retry.
 	minRetryAfter = 100 * time.Millisecond
@@ -77,7 +80,7 @@
 		}
 		timeout = min(timeout, partitionedTimeout)
 	}
-	ctx, cancel := context.WithTimeout(s.server.ctx, timeout)
+	ctx, cancel := context.WithTimeout(s.server.requestCtx, timeout)
 	defer cancel()
 	queuedAt := clock.Now()
 	reservation, err := s.server.options.Scheduler.Acquire(ctx, requirements)
@@ -150,7 +153,7 @@
 		state.Prepared = &prepared
 	}
 	att.sentAt = clock.Now()
-	if err := att.conn.Synchronize(timeout, state); err != nil {
+	if err := att.conn.Synchronize(s.server.requestCtx, timeout, state); err != nil {
 		return nil, err
 	}
 	request := statement.Request{ID: req.ID, Statement: req.Statement}
@@ -160,7 +163,7 @@
 	if s.transaction == nil {
 		request.MinPosition = att.reservation.MinPosition
 	}
-	return att.conn.Run(timeout-clock.Since(att.sentAt), request)
+	return att.conn.Run(s.server.requestCtx, timeout-clock.Since(att.sentAt), request)
 }
 
 // notSent returns the failure for a statement that was not sent because its connection
@@ -222,7 +225,7 @@
 	if _, isRead := req.Statement.(statement.Read); isRead && s.server.options.PrimaryConfirmer.IsPartitioned(req.route.Group) {
 		timeout = min(timeout, partitionedTimeout)
 	}
-	ctx, cancel := context.WithTimeout(s.server.ctx, timeout)
+	ctx, cancel := context.WithTimeout(s.server.requestCtx, timeout)
 	defer cancel()
 	validity := s.server.options.PrimaryConfirmer.ConfirmPrimary(ctx, att.reservation.Grant, reply.ReceivedAt)
 	if validity == lease.ValidityConfirmed && !reply.Position.IsZero() {
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -28,8 +28,13 @@
 	// CloseIdleSessions closes it: a caller that has just connected is about to
 	// send a request.
 	minIdleTime = 250 * time.Millisecond
+	// arrivalTimeout bounds the check whether a session that is to be closed has
+	// received a request.
+	arrivalTimeout = time.Millisecond
+	// interruptTimeout bounds the wait for the answers to interrupted requests.
+	interruptTimeout = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks whether a session remains.
-	drainPollInterval = 20 * time.Millisecond
+	drainPollInterval = 10 * time.Millisecond
 	// acceptRetryDelay is the delay after a connection could not be accepted, for
 	// example because of too many open files.
 	acceptRetryDelay = 50 * time.Millisecond
@@ -84,7 +89,9 @@
 // Server serves callers' sessions. NewServer makes one.
 type Server struct {
 	options Options
-	ctx     context.Context
+	// requestCtx ends when the requests that are still being served are interrupted.
+	requestCtx        context.Context
+	interruptRequests context.CancelFunc
 	// goroutines counts the goroutines that the end of the server waits for.
 	goroutines sync.WaitGroup
 
@@ -95,8 +102,9 @@
 	// closed is set once all connections have been closed, and no further one may be
 	// served.
 	closed bool
-	// draining is set once sessions are closed whenever they are idle.
-	draining bool
+	// draining is set once sessions are closed whenever they are idle. ending is set
+	// once no further statement is sent to a database.
+	draining, ending bool
 }
 
 // phase is the current activity of a session.
@@ -135,7 +143,7 @@
 	if err != nil {
 		return nil, &ListenError{Address: s.options.ListenAddress, Cause: err}
 	}
-	s.ctx = ctx
+	s.requestCtx, s.interruptRequests = context.WithCancel(ctx)
 	ended := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -197,7 +205,7 @@
 	}
 	ses.routeName = startup.RouteName
 	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-	if found, isCertain := s.options.Router.ConfirmRoute(s.ctx, startup.RouteName); !found {
+	if found, isCertain := s.options.Router.ConfirmRoute(s.requestCtx, startup.RouteName); !found {
 		failure := &statement.FailureError{Code: statement.CodeGroupNotFound, Message: "no route has the name " + startup.RouteName}
 		if !isCertain {
 			failure = &statement.FailureError{Code: statement.CodeBusy, Message: "the configuration is not known yet; " + retryAfterText}
@@ -207,6 +215,10 @@
 		_ = ses.codec.WriteRejection(failure)
 		return
 	}
+	if s.isDraining() {
+		_ = ses.codec.WriteRejection(&statement.FailureError{Code: statement.CodeBusy, Message: shuttingDownText})
+		return
+	}
 	if ses.codec.WriteReady() != nil {
 		return
 	}
@@ -264,14 +276,22 @@
 		switch {
 		case err == nil:
 			return true
-		case !errors.Is(err, os.ErrDeadlineExceeded) || endRequested:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
+		case endRequested:
+			return ses.hasArrived()
 		case isLimited:
 			ses.failIdleTransaction("the transaction was idle for longer than the limit")
 		}
 	}
 }
 
+// hasArrived reports whether a request has arrived by now.
+func (ses *session) hasArrived() bool {
+	_ = ses.conn.SetReadDeadline(time.Now().Add(arrivalTimeout))
+	return ses.codec.AwaitRequest() == nil
+}
+
 // cleanUp rolls back an open transaction and removes the session from the server.
 func (ses *session) cleanUp() {
 	if ses.transaction != nil {
@@ -288,7 +308,7 @@
 func (s *Server) startWaiting(ses *session, limit time.Duration, isLimited bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.draining && ses.transaction == nil {
+	if s.closed || s.ending || s.draining && ses.transaction == nil {
 		return false
 	}
 	deadline := time.Time{}
@@ -322,6 +342,18 @@
 	s.endIdle(0)
 }
 
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
 // CloseIdleSessions closes the sessions that have been idle for minIdleTime, so that
 // their callers reconnect to an instance that is ready.
 func (s *Server) CloseIdleSessions() {
@@ -330,12 +362,13 @@
 	s.endIdle(minIdleTime)
 }
 
-// endIdle ends the sessions that have been idle for idleTime or longer. The caller
-// holds s.mu.
+// endIdle ends the sessions that have been idle for idleTime or longer, and those that
+// are idle inside a transaction if the server is ending. The caller holds s.mu.
 func (s *Server) endIdle(idleTime time.Duration) {
 	now := clock.Now()
 	for ses, current := range s.sessions {
-		if current.phase == phaseIdle && now.Sub(current.since) >= idleTime {
+		isIdle := current.phase == phaseIdle && now.Sub(current.since) >= idleTime
+		if isIdle || current.phase == phaseIdleInTransaction && s.ending {
 			current.endRequested = true
 			_ = ses.conn.SetReadDeadline(time.Unix(1, 0))
 		}
@@ -349,6 +382,20 @@
 	}
 }
 
+// EndSessions ends all sessions, so that each request that was read gets an answer. No
+// further statement is sent to a database: open transactions are rolled back. Requests
+// that are being served have until limit to be answered by their databases. Then they
+// are interrupted, and answered with what is known of them.
+func (s *Server) EndSessions(limit time.Duration) {
+	s.mu.Lock()
+	s.draining, s.ending = true, true
+	s.endIdle(0)
+	s.mu.Unlock()
+	s.AwaitDrained(limit)
+	s.interruptRequests()
+	s.AwaitDrained(interruptTimeout)
+}
+
 // SessionCount returns the number of sessions. A session counts from its first wait
 // for a request on; connections that have not completed startup do not count.
 func (s *Server) SessionCount() int {
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -122,6 +122,9 @@
 	if s.transaction != nil {
 		return s.handleInTransaction(request, arrivedAt)
 	}
+	if s.server.isEnding() {
+		return failureAnswer(statement.CodeBusy, shuttingDownText, statement.TransactionStateIdle)
+	}
 	if answer, done := s.handleLocal(request.Statement); done {
 		return answer
 	}
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -6,6 +6,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
@@ -54,15 +55,15 @@
 			return s.logFailure(req, reservation, notExecuted(failure), statement.TransactionStateIdle)
 		}
 		if requirements.RequiresPrimary {
-			s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
-			time.Sleep(retryPause(req.attempts))
+			s.reportSuspectedPrimary(req.route.Group)
+			s.pause(retryPause(req.attempts))
 		}
 	}
 }
 
 // mayRetry reports whether a statement that was not executed may be sent again.
 func (s *session) mayRetry(req *pendingRequest) bool {
-	return !req.rejected && req.attempts < maxAttempts && !s.server.options.PrimaryConfirmer.IsPartitioned(req.route.Group) && clock.Since(req.arrivedAt) < time.Duration(queueShare*float64(req.route.Timeout))
+	return !req.rejected && s.server.requestCtx.Err() == nil && req.attempts < maxAttempts && !s.server.options.PrimaryConfirmer.IsPartitioned(req.route.Group) && clock.Since(req.arrivedAt) < time.Duration(queueShare*float64(req.route.Timeout))
 }
 
 // retryPause returns the delay before an attempt, after the given number of attempts:
@@ -73,6 +74,22 @@
 	return mean/2 + rand.N(mean)
 }
 
+// pause waits for a delay, or until the end of the server's requests.
+func (s *session) pause(delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-s.server.requestCtx.Done():
+	}
+}
+
+// reportSuspectedPrimary reports that a primary did not answer, unless the server has
+// interrupted the request itself.
+func (s *session) reportSuspectedPrimary(group model.GroupID) {
+	if s.server.requestCtx.Err() == nil {
+		s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(group)
+	}
+}
+
 // notExecuted returns the failure for a statement that was not executed. Its code is
 // always busy, because the caller may retry whatever the database's own code is.
 func notExecuted(failure *statement.FailureError) *statement.FailureError {
@@ -113,7 +130,7 @@
 		}
 		return conclusion{retry: true, reason: &statement.FailureError{Code: statement.CodeBusy, Message: err.Error()}}
 	}
-	s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
+	s.reportSuspectedPrimary(req.route.Group)
 	return conclusion{answer: s.logFailure(req, att.reservation,
 		&statement.FailureError{Code: statement.CodeOutcomeUnknown, Message: "the answer of the database was lost"}, statement.TransactionStateIdle)}
 }
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -41,6 +41,9 @@
 	if t.failed {
 		return s.handleFailed(req)
 	}
+	if s.server.isEnding() {
+		return s.concludeNotSent(req, &statement.FailureError{Code: statement.CodeAborted, Message: shuttingDownText})
+	}
 	if answer, done := s.handleLocal(request.Statement); done {
 		return answer
 	}
@@ -110,8 +113,8 @@
 			return s.concludeNotSent(req, notExecuted(failure))
 		}
 		if requirements.RequiresPrimary {
-			s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
-			time.Sleep(retryPause(req.attempts))
+			s.reportSuspectedPrimary(req.route.Group)
+			s.pause(retryPause(req.attempts))
 		}
 	}
 }
@@ -179,7 +182,7 @@
 	sentWrite := t.sentWrite
 	reservation := t.attempt.reservation
 	s.closeTransactionConn()
-	s.server.options.PrimaryConfirmer.ReportSuspectedPrimary(req.route.Group)
+	s.reportSuspectedPrimary(req.route.Group)
 	if isCommit && sentWrite {
 		s.transaction = nil
 		return s.logFailure(req, reservation, &statement.FailureError{Code: statement.CodeOutcomeUnknown, Message: "the answer to COMMIT was lost"}, statement.TransactionStateIdle)
@@ -276,7 +279,7 @@
 		return
 	}
 	s.server.spawn(func() {
-		reply, err := att.conn.Run(rollbackTimeout, statement.Request{Statement: statement.Rollback{}})
+		reply, err := att.conn.Run(s.server.requestCtx, rollbackTimeout, statement.Request{Statement: statement.Rollback{}})
 		if err != nil || reply.Failure != nil {
 			s.closeAttempt(att)
 			return
--- a/internal/node/fleet/control.go
+++ b/internal/node/fleet/control.go
@@ -58,7 +58,7 @@
 		f.logControl(d, s, statement.ServerStatus{}, err)
 		return statement.ServerStatus{}, err
 	}
-	reply, err := conn.Run(controlTimeout, statement.Request{Statement: s})
+	reply, err := conn.Run(ctx, controlTimeout, statement.Request{Statement: s})
 	if err != nil {
 		conn.Close()
 		f.logControl(d, s, statement.ServerStatus{}, err)
--- a/internal/report/event/event_session.go
+++ b/internal/report/event/event_session.go
@@ -39,8 +39,13 @@
 		Text:   "The instance is draining: idle sessions are closed, open transactions may continue for the given time.",
 		Fields: []string{"sessions", "until"},
 	}
+	SessionsEnding = Event{
+		Number: 166, Name: "sessions-ending", Level: LevelInfo,
+		Text:   "The instance is shutting down: open transactions are ended, and requests under way are interrupted after the given time.",
+		Fields: []string{"sessions", "until"},
+	}
 )
 
 var sessionEvents = []Event{
-	StatementAnswered, StatementFailed, StatementRetried, TransactionEnded, NameRefused, SessionsClosing,
+	StatementAnswered, StatementFailed, StatementRetried, TransactionEnded, NameRefused, SessionsClosing, SessionsEnding,
 }
