Choose the tests' ports below those of outgoing connections

Cause: its addresses are ports that the system had given out and got back, so that an outgoing connection of another process may take one before the instance listens there. Evidence: with an outgoing connection bound to the operators' port the test fails with the same line, and Run returns "bind: address already in use", which the test did not show. That this was the cause of the one failure is not shown: its log is not kept. Change: serve_test and server_test take their addresses from package deploy, below the range of outgoing connections. submitManifest fails at once if the instance ends, with its error.

--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 )
 
 // lineProtocol is a protocol of lines: the first one names the route, and each further
@@ -87,12 +88,11 @@
 // that stops it, and the channel that receives its end.
 func startServer(t *testing.T) (netip.AddrPort, context.CancelFunc, <-chan error) {
 	t.Helper()
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := deploy.FreeAddresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := reserved.Addr().(*net.TCPAddr).AddrPort()
-	_ = reserved.Close()
+	address := addresses[0]
 	routes := &oneRoute{}
 	server := NewServer(Options{
 		ListenAddress: address, Protocol: lineProtocol{}, Router: routes, PrimaryConfirmer: routes, Samples: routes,
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -21,6 +21,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/operator"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/database"
+	"github.com/eelgrassfold/eelgrassfold/internal/standin/deploy"
 	"github.com/eelgrassfold/eelgrassfold/internal/standin/platform"
 )
 
@@ -72,15 +73,15 @@
 	}, ctx
 }
 
-// freeLoopbackAddress returns a loopback address whose port is currently unused.
+// freeLoopbackAddress returns a loopback address on which nothing listens, and which no
+// outgoing connection occupies.
 func freeLoopbackAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := deploy.FreeAddresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return addresses[0]
 }
 
 func requireStarted(t *testing.T, ended <-chan error, err error) {
@@ -129,6 +130,11 @@
 	t.Helper()
 	client := operator.NewClient(f.settings.Listen.Operators, testSecret)
 	retry(ctx, t, func() error {
+		select {
+		case err := <-f.runErr:
+			t.Fatalf("Run = %v before the instance was ready", err)
+		default:
+		}
 		decision, err := client.Submit(ctx, []byte(f.manifest), 0, "test")
 		if err == nil && decision.Outcome != "ok" {
 			t.Fatalf("decision %+v", decision)
--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -240,7 +240,7 @@
 		return errors.WithStack(err)
 	}
 	const addressesPerInstance = 3
-	addresses, err := freeAddresses(addressesPerInstance * d.options.Instances)
+	addresses, err := FreeAddresses(addressesPerInstance * d.options.Instances)
 	if err != nil {
 		return err
 	}
@@ -352,8 +352,8 @@
 	maxPortAttempts = 100
 )
 
-// freeAddresses returns distinct loopback addresses on which nothing listens.
-func freeAddresses(count int) ([]netip.AddrPort, error) {
+// FreeAddresses returns distinct loopback addresses on which nothing listens.
+func FreeAddresses(count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, count)
 	for i := range addresses {
 		listener, err := listenOnRandomPort()
