A request that waits for a survey can be interrupted

What callers saw: if neither the store nor a peer gave a view, a request whose answer had to be confirmed by a survey of its group got no answer when its instance ended: it had run at its database, and its connection was closed while the survey was still under way.

Cause: the first request that needs a survey ran it itself, detached from its own context. It could neither be interrupted nor time out until the survey had ended, up to 900 ms later, while an instance that ends closes all connections 100 ms after the interruption.

Evidence: TestSurveyDoesNotHoldUpRequest, before: "the request was held up for 501.022966ms", with a context that ended after 50 ms. Found by reading each step of a request for waits that do not end with the server's context.

Ruled out: the wait for a view (AwaitValidity), the queue for a reservation and the exchange with a database end with the context.

Change: a survey runs in a goroutine of its own, for the lifetime of the fleet. All requests wait for it alike, each for as long as its own context.

--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -115,7 +115,7 @@
 
 // surveyUnconfirmed starts a survey of each group while no view confirms the
 // primaries, except for groups with a recent one.
-func (f *Fleet) surveyUnconfirmed(ctx context.Context) {
+func (f *Fleet) surveyUnconfirmed() {
 	now := clock.Now()
 	if f.Leases.IsConfirmed(now) {
 		return
@@ -124,11 +124,7 @@
 		if f.surveys.isRecent(now, name) {
 			continue
 		}
-		f.running.Add(1)
-		go func() {
-			defer f.running.Done()
-			f.surveys.runIfIdle(ctx, f, name)
-		}()
+		f.surveys.startIfIdle(f, name)
 	}
 }
 
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -251,7 +251,7 @@
 			return
 		case <-ticker.C:
 			f.probePrimaries(ctx)
-			f.surveyUnconfirmed(ctx)
+			f.surveyUnconfirmed()
 			if f.hasNewFailure(failing) {
 				f.broadcast()
 			}
--- a/internal/node/fleet/survey.go
+++ b/internal/node/fleet/survey.go
@@ -61,7 +61,7 @@
 	return found && r.confirmed && r.primary == grant.Primary
 }
 
-// roundAfter returns the first round that started after a moment, and runs
+// roundAfter returns the first round that started after a moment, and starts
 // rounds itself if none is running. It returns false if ctx ends first.
 func (s *surveys) roundAfter(
 	ctx context.Context, f *Fleet, name model.GroupID, moment time.Time,
@@ -69,8 +69,7 @@
 	for ctx.Err() == nil {
 		r, isNew := s.join(name)
 		if isNew {
-			f.runRound(ctx, name, r)
-			s.endRound(name, r)
+			s.start(f, name, r)
 		}
 		select {
 		case <-r.done:
@@ -116,19 +115,27 @@
 	return now.Sub(s.confirmed[name]) < recentSurveyAge
 }
 
-// runIfIdle runs a round unless one is running.
-func (s *surveys) runIfIdle(ctx context.Context, f *Fleet, name model.GroupID) {
+// startIfIdle starts a round unless one is running.
+func (s *surveys) startIfIdle(f *Fleet, name model.GroupID) {
 	if r, isNew := s.join(name); isNew {
-		f.runRound(ctx, name, r)
-		s.endRound(name, r)
+		s.start(f, name, r)
 	}
 }
 
-// runRound runs a round. The round does not end with the request that started
-// it, since others wait for it as well. If this instance is not a member or its
-// view is older than maxSurveyViewAge, the round confirms nothing and ends at once.
+// start runs a round in the background. The round does not end with the request that
+// started it, since others wait for it as well, and does not hold it up either.
+func (s *surveys) start(f *Fleet, name model.GroupID, r *round) {
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		f.runRound(f.lifetime, name, r)
+		s.endRound(name, r)
+	}()
+}
+
+// runRound runs a round. If this instance is not a member or its view is older than
+// maxSurveyViewAge, the round confirms nothing and ends at once.
 func (f *Fleet) runRound(ctx context.Context, name model.GroupID, r *round) {
-	ctx = context.WithoutCancel(ctx)
 	view := f.Leases.View()
 	if !view.IsMember || clock.Since(view.ReadStartedAt) > maxSurveyViewAge {
 		return
--- a/internal/node/fleet/survey_test.go
+++ b/internal/node/fleet/survey_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -67,6 +68,27 @@
 	}
 }
 
+// Guards against a request that can't be interrupted, and gets no answer when its instance
+// ends, because it has started a survey: only the survey waits for the peer.
+func TestSurveyDoesNotHoldUpRequest(t *testing.T) {
+	f := newUnstartedFleet(5, 9)
+	f.Attach(sendFunc(func(message.SendPeer) {}), idleSessions{})
+	f.receiveGossip("z1-1", message.GossipState{})
+	f.Leases.Update(lease.View{
+		Version: 1, ReadStartedAt: clock.Now(), IsMember: true,
+		Rows: map[model.GroupID]lease.GroupRow{"ratings": {Epoch: 1, Primary: "a"}},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), peerSurveyTimeout/10)
+	defer cancel()
+	startedAt := time.Now()
+	if f.surveys.confirm(ctx, f, lease.Grant{Group: "ratings", Primary: "a", Epoch: 1}, clock.Now()) {
+		t.Error("a survey without an answer confirmed the primary")
+	}
+	if took := time.Since(startedAt); took >= peerSurveyTimeout {
+		t.Errorf("the request was held up for %v", took)
+	}
+}
+
 // A survey for a peer must start after the request was received: a round that
 // was running already may have read states from before it.
 func TestSurveyForPeerStartsAfterRequest(t *testing.T) {
