Opening a connection to a database can be interrupted

What callers saw: a request that waited for a new connection when its instance ended got no answer, if the database took its time to accept the connection.

Cause: the context of a request bounded the handshake only by its deadline. An interruption before that was noticed by the dialing, but not by the handshake, which went on for up to 400 ms; the instance closes all connections 100 ms after the interruption.

Evidence: TestConnectingIsInterrupted, before: "interrupted after 401.036988ms, want less than 400ms", with a context that was cancelled after 50 ms.

Ruled out: Conn.Run and Conn.Synchronize, which an ending context interrupts already.

Change: the same interruption, interruptAtEnd, serves the exchange and the handshake. A connection whose handshake ends together with the context is closed, since its deadline may be changed at any moment.

--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -150,7 +150,11 @@
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
 		_ = dialed.SetDeadline(deadline)
 	}
+	stopInterrupt := interruptAtEnd(ctx, dialed)
 	codec, err := p.protocol.Handshake(dialed, target)
+	if !stopInterrupt() && err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		_ = dialed.Close()
 		return nil, &ConnectError{Database: target.ID, Cause: err}
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -73,10 +73,9 @@
 	if err := c.net.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return lost(err)
 	}
-	stopInterrupt := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	stopInterrupt := interruptAtEnd(ctx, c.net)
 	defer func() {
 		if !stopInterrupt() {
-			// The deadline may be changed at any moment.
 			c.isStateUnknown = true
 		}
 	}()
@@ -95,6 +94,13 @@
 	return replies, nil
 }
 
+// interruptAtEnd interrupts what waits for a connection once ctx ends. The returned
+// function stops that; it reports false if ctx has ended, so that the deadline of the
+// connection may be changed at any moment.
+func interruptAtEnd(ctx context.Context, conn net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+}
+
 // NeedsRollback reports whether a transaction has to be rolled back before another
 // session may use the connection. A connection whose state is not known is closed
 // instead, which rolls back too.
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"testing"
@@ -79,6 +81,38 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort(), func() { _ = (<-accepted).Close() }
 }
 
+// confirmingProtocol is lineProtocol with a handshake that the database has to confirm.
+type confirmingProtocol struct{ lineProtocol }
+
+// Handshake implements Protocol.
+func (p confirmingProtocol) Handshake(conn net.Conn, target placement.Database) (Codec, error) {
+	codec, err := p.lineProtocol.Handshake(conn, target)
+	if err == nil {
+		_, err = codec.Receive(statement.Request{})
+	}
+	return codec, err
+}
+
+// Guards against a request that waits for a new connection when its instance ends, and
+// gets no answer in time: the handshake is interrupted too.
+func TestConnectingIsInterrupted(t *testing.T) {
+	address, _ := startEchoServer(t)
+	pool := NewPool(confirmingProtocol{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const interruptAfter = connectTimeout / 8
+	time.AfterFunc(interruptAfter, cancel)
+	startedAt := time.Now()
+	_, err := pool.Get(ctx, placement.Database{ID: "a", Address: address}, nil)
+	var connectErr *ConnectError
+	if !errors.As(err, &connectErr) {
+		t.Fatalf("error %v, want a *ConnectError", err)
+	}
+	if took := time.Since(startedAt); took < interruptAfter || took >= connectTimeout {
+		t.Errorf("interrupted after %v, want less than %v", took, connectTimeout)
+	}
+}
+
 // Guards against the deadline of the last exchange staying set on an idle
 // connection: once it had passed, the check whether the connection is open failed
 // and the pool dropped a good connection. A connection that the other end has
