A session is closed only once all that has arrived is answered

What callers saw: around the end of an instance, a request that had arrived was not answered: one that was sent behind another before the first answer, and, in a process with too little processor time, one that arrived before its idle session was closed.

Cause: a session ended at two places. After an answer it ended without looking for a further request, even for one in its own read buffer. An idle session looked once more, for 1 ms; but a read whose deadline has passed reads nothing, whatever has arrived, so that a process that did not run for that millisecond missed the request.

Ruled out: sessions whose wait was interrupted while data arrived in time; their requests were read.

Change: the server closes a session at one place, awaitRequest, and only if neither the read buffer nor the receive buffer of the operating system holds anything. The latter is examined without reading and without a deadline, by socket.HasUnread, which package backend had for its idle connections. The flags closed, draining and ending are one stage. A session counts from its startup message on, so that the end also waits for those that are being accepted.

--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -6,13 +6,13 @@
 	"maps"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 )
 
 // Variables are the variables of a session: their values by name.
@@ -236,33 +236,7 @@
 // isOpen reports whether the connection is still usable, as far as this end knows.
 // An open idle connection has nothing to read, so that data or end of file in the
 // receive buffer means that the connection can't be used.
-func (c *Conn) isOpen() bool {
-	if c.codec.HasUnread() {
-		return false
-	}
-	// The deadline of the last exchange may have passed, which would fail the read.
-	if c.net.SetDeadline(time.Time{}) != nil {
-		return false
-	}
-	raw, ok := c.net.(syscall.Conn)
-	if !ok {
-		// The receive buffer can't be examined, so nothing shows that the connection
-		// is unusable.
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = control.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
+func (c *Conn) isOpen() bool { return !c.codec.HasUnread() && !socket.HasUnread(c.net) }
 
 // ConnectError reports that a connection to a database could not be opened.
 type ConnectError struct {
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
@@ -24,13 +25,14 @@
 const (
 	// startupTimeout bounds the wait for a caller's startup message.
 	startupTimeout = 10 * time.Second
+	// requestTimeout bounds the reading of one request, from its first byte to
+	// its last. lastRequestTimeout bounds it while the server closes its sessions.
+	requestTimeout     = 10 * time.Second
+	lastRequestTimeout = 50 * time.Millisecond
 	// minIdleTime is how long a session must have been idle before
 	// CloseIdleSessions closes it: a caller that has just connected is about to
 	// send a request.
 	minIdleTime = 250 * time.Millisecond
-	// arrivalTimeout bounds the check whether a session that is to be closed has
-	// received a request.
-	arrivalTimeout = time.Millisecond
 	// interruptTimeout bounds the wait for the answers to interrupted requests.
 	interruptTimeout = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks whether a session remains.
@@ -97,16 +99,32 @@
 
 	mu       sync.Mutex
 	sessions map[*session]*record
-	// starting holds the connections that have not completed the startup.
+	// starting holds the connections whose startup message has not been read.
 	starting map[net.Conn]bool
-	// closed is set once all connections have been closed, and no further one may be
-	// served.
-	closed bool
-	// draining is set once sessions are closed whenever they are idle. ending is set
-	// once no further statement is sent to a database.
-	draining, ending bool
+	// stage is never lowered.
+	stage stage
 }
 
+// stage is how far a server has ended. The restrictions of a stage hold in all later
+// ones.
+type stage int
+
+// The values of stage.
+const (
+	stageServing stage = iota
+	// stageDraining: no further session is accepted, and sessions are closed whenever
+	// they are idle outside transactions.
+	stageDraining
+	// stageEnding: open transactions are rolled back, and statements are answered
+	// without a database.
+	stageEnding
+	// stageClosing: sessions are closed whenever they wait for a request, and requests
+	// that are being served are interrupted.
+	stageClosing
+	// stageClosed: all connections have been closed.
+	stageClosed
+)
+
 // phase is the current activity of a session.
 type phase int
 
@@ -125,9 +143,8 @@
 	// since is the time at which the wait for a request began. It is zero in
 	// phaseServing.
 	since time.Time
-	// endRequested is set when the server has interrupted the wait for a request
-	// in order to end the session.
-	endRequested bool
+	// interrupted is set when the server has interrupted the wait for a request.
+	interrupted bool
 }
 
 // NewServer returns a server that does not listen yet.
@@ -205,41 +222,64 @@
 	}
 	ses.routeName = startup.RouteName
 	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-	if found, isCertain := s.options.Router.ConfirmRoute(s.requestCtx, startup.RouteName); !found {
-		failure := &statement.FailureError{Code: statement.CodeGroupNotFound, Message: "no route has the name " + startup.RouteName}
-		if !isCertain {
-			failure = &statement.FailureError{Code: statement.CodeBusy, Message: "the configuration is not known yet; " + retryAfterText}
-		}
-		s.logEvent(event.NameRefused, event.F("name", startup.RouteName), event.F("why", failure.Message),
-			event.F("version", s.options.Router.ConfigurationVersion()))
-		_ = ses.codec.WriteRejection(failure)
+	if !s.addSession(ses) {
 		return
 	}
-	if s.isDraining() {
-		_ = ses.codec.WriteRejection(&statement.FailureError{Code: statement.CodeBusy, Message: shuttingDownText})
+	defer ses.cleanUp()
+	if failure := ses.admit(); failure != nil {
+		_ = ses.codec.WriteRejection(failure)
 		return
 	}
 	if ses.codec.WriteReady() != nil {
 		return
 	}
-	s.removeStarting(conn)
-	defer ses.cleanUp()
 	for ses.serveRequest() {
 	}
 }
 
-// addStarting records a connection that has not completed the startup. It reports false
-// if the server has ended.
+// admit returns why the session is rejected, or nil if it is accepted.
+func (ses *session) admit() *statement.FailureError {
+	s := ses.server
+	if found, isCertain := s.options.Router.ConfirmRoute(s.requestCtx, ses.routeName); !found {
+		failure := &statement.FailureError{Code: statement.CodeGroupNotFound, Message: "no route has the name " + ses.routeName}
+		if !isCertain {
+			failure = &statement.FailureError{Code: statement.CodeBusy, Message: "the configuration is not known yet; " + retryAfterText}
+		}
+		s.logEvent(event.NameRefused, event.F("name", ses.routeName), event.F("why", failure.Message),
+			event.F("version", s.options.Router.ConfigurationVersion()))
+		return failure
+	}
+	if s.hasReached(stageDraining) {
+		return &statement.FailureError{Code: statement.CodeBusy, Message: shuttingDownText}
+	}
+	return nil
+}
+
+// addStarting records a connection whose startup message has not been read. It reports
+// false if the server has ended.
 func (s *Server) addStarting(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.stage == stageClosed {
 		return false
 	}
 	s.starting[conn] = true
 	return true
 }
 
+// addSession records a session whose startup message was read. It reports false if the
+// server has ended.
+func (s *Server) addSession(ses *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stage == stageClosed {
+		return false
+	}
+	delete(s.starting, ses.conn)
+	s.sessions[ses] = &record{phase: phaseServing}
+	return true
+}
+
 func (s *Server) removeStarting(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -252,7 +292,6 @@
 		return false
 	}
 	arrivedAt := clock.Now()
-	_ = ses.conn.SetReadDeadline(time.Now().Add(requestTimeout))
 	request, err := ses.codec.ReadRequest()
 	if err != nil {
 		return false
@@ -263,33 +302,41 @@
 }
 
 // awaitRequest waits for the next request and reports whether there is one. It rolls
-// back a transaction that is idle for longer than the limit.
+// back a transaction that is idle for longer than the limit. Only here does the server decide to close a session, so that each request
+// that has arrived is answered before.
 func (ses *session) awaitRequest() bool {
 	for {
 		limit := ses.server.options.Router.IdleTransactionTimeout()
-		isLimited := limit > 0 && ses.transaction != nil && !ses.transaction.failed
-		if !ses.server.startWaiting(ses, limit, isLimited) {
-			return false
-		}
+		isLimited := limit > 0 && ses.hasOpenTransaction()
+		ses.server.startWaiting(ses, limit, isLimited)
 		err := ses.codec.AwaitRequest()
-		endRequested := ses.server.stopWaiting(ses)
+		interrupted := ses.server.stopWaiting(ses)
 		switch {
 		case err == nil:
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return false
-		case endRequested:
-			return ses.hasArrived()
+		case ses.hasArrived():
+			return true
+		case interrupted:
+			return false
 		case isLimited:
 			ses.failIdleTransaction("the transaction was idle for longer than the limit")
 		}
 	}
 }
 
-// hasArrived reports whether a request has arrived by now.
+// hasArrived reports whether at least a part of a request has arrived, or the end of the
+// connection. A wait that has ended by its deadline does not show that: it reads nothing
+// once the deadline has passed.
 func (ses *session) hasArrived() bool {
-	_ = ses.conn.SetReadDeadline(time.Now().Add(arrivalTimeout))
-	return ses.codec.AwaitRequest() == nil
+	return ses.codec.HasUnread() || socket.HasUnread(ses.conn)
+}
+
+// hasOpenTransaction reports whether the session is inside a transaction that has not
+// failed.
+func (ses *session) hasOpenTransaction() bool {
+	return ses.transaction != nil && !ses.transaction.failed
 }
 
 // cleanUp rolls back an open transaction and removes the session from the server.
@@ -303,74 +350,95 @@
 }
 
 // startWaiting records that a session starts to wait for a request, and sets the
-// deadline of the wait: after limit if isLimited is true, otherwise none. It returns
-// false if the session has to end because the server is draining.
-func (s *Server) startWaiting(ses *session, limit time.Duration, isLimited bool) bool {
+// deadline of the wait: after limit if isLimited is true, otherwise none, and a time in
+// the past if the server's stage allows no wait.
+func (s *Server) startWaiting(ses *session, limit time.Duration, isLimited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.ending || s.draining && ses.transaction == nil {
-		return false
+	waiting := &record{phase: phaseIdle, since: clock.Now()}
+	if ses.transaction != nil {
+		waiting.phase = phaseIdleInTransaction
 	}
+	s.sessions[ses] = waiting
 	deadline := time.Time{}
 	if isLimited {
 		deadline = time.Now().Add(limit)
 	}
 	_ = ses.conn.SetReadDeadline(deadline)
-	waiting := &record{phase: phaseIdle, since: clock.Now()}
-	if ses.transaction != nil {
-		waiting.phase = phaseIdleInTransaction
+	if s.mustEndWait(waiting.phase) {
+		interruptWait(ses, waiting)
 	}
-	s.sessions[ses] = waiting
-	return true
 }
 
-// stopWaiting records that a session no longer waits for a request, and reports
-// whether the server has requested the session's end in the meantime.
+// stopWaiting records that a session no longer waits for a request, sets the deadline for
+// reading one, and reports whether the server has interrupted the wait.
 func (s *Server) stopWaiting(ses *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	endRequested := s.sessions[ses].endRequested
+	interrupted := s.sessions[ses].interrupted
 	s.sessions[ses] = &record{phase: phaseServing}
-	return endRequested
+	timeout := requestTimeout
+	if s.stage >= stageClosing {
+		timeout = lastRequestTimeout
+	}
+	_ = ses.conn.SetReadDeadline(time.Now().Add(timeout))
+	return interrupted
 }
 
-// StartDraining closes idle sessions, now and as soon as another becomes idle.
-func (s *Server) StartDraining() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	s.endIdle(0)
+// mustEndWait reports whether no session may stay in a phase at the server's stage. The
+// caller holds s.mu.
+func (s *Server) mustEndWait(p phase) bool {
+	switch p {
+	case phaseIdle:
+		return s.stage >= stageDraining
+	case phaseIdleInTransaction:
+		return s.stage >= stageEnding
+	case phaseServing:
+	}
+	return false
 }
 
-func (s *Server) isDraining() bool {
+// interruptWait interrupts a session's wait for a request. The caller holds the mutex of
+// the server.
+func interruptWait(ses *session, waiting *record) {
+	waiting.interrupted = true
+	_ = ses.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// enter raises the server's stage, and interrupts the waits that it does not allow.
+func (s *Server) enter(next stage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	s.stage = max(s.stage, next)
+	for ses, current := range s.sessions {
+		switch {
+		case s.mustEndWait(current.phase):
+			interruptWait(ses, current)
+		case s.stage >= stageClosing:
+			_ = ses.conn.SetReadDeadline(time.Now().Add(lastRequestTimeout))
+		}
+	}
 }
 
-func (s *Server) isEnding() bool {
+// hasReached reports whether the server is at the given stage or a later one.
+func (s *Server) hasReached(reached stage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ending
+	return s.stage >= reached
 }
 
+// StartDraining closes idle sessions, now and as soon as another becomes idle.
+func (s *Server) StartDraining() { s.enter(stageDraining) }
+
 // CloseIdleSessions closes the sessions that have been idle for minIdleTime, so that
 // their callers reconnect to an instance that is ready.
 func (s *Server) CloseIdleSessions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endIdle(minIdleTime)
-}
-
-// endIdle ends the sessions that have been idle for idleTime or longer, and those that
-// are idle inside a transaction if the server is ending. The caller holds s.mu.
-func (s *Server) endIdle(idleTime time.Duration) {
 	now := clock.Now()
 	for ses, current := range s.sessions {
-		isIdle := current.phase == phaseIdle && now.Sub(current.since) >= idleTime
-		if isIdle || current.phase == phaseIdleInTransaction && s.ending {
-			current.endRequested = true
-			_ = ses.conn.SetReadDeadline(time.Unix(1, 0))
+		if current.phase == phaseIdle && now.Sub(current.since) >= minIdleTime {
+			interruptWait(ses, current)
 		}
 	}
 }
@@ -387,28 +455,27 @@
 // that are being served have until limit to be answered by their databases. Then they
 // are interrupted, and answered with what is known of them.
 func (s *Server) EndSessions(limit time.Duration) {
-	s.mu.Lock()
-	s.draining, s.ending = true, true
-	s.endIdle(0)
-	s.mu.Unlock()
+	s.enter(stageEnding)
 	s.AwaitDrained(limit)
+	s.enter(stageClosing)
 	s.interruptRequests()
 	s.AwaitDrained(interruptTimeout)
 }
 
-// SessionCount returns the number of sessions. A session counts from its first wait
-// for a request on; connections that have not completed startup do not count.
+// SessionCount returns the number of sessions. Connections whose startup message has not
+// been read do not count.
 func (s *Server) SessionCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.sessions)
 }
 
-// closeAll closes all sessions, and the connections that have not completed the startup.
+// closeAll closes the connections of all sessions that remain, and those whose startup
+// message has not been read.
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
+	s.stage = stageClosed
 	for ses := range s.sessions {
 		_ = ses.conn.Close()
 	}
--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -32,13 +32,31 @@
 type lineCodec struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// beforeWait, if set, is called before each wait for a request.
+	beforeWait func()
 }
 
 func (c *lineCodec) AwaitRequest() error {
+	if c.beforeWait != nil {
+		c.beforeWait()
+	}
 	_, err := c.reader.Peek(1)
 	return err
 }
 
+// slowProtocol is lineProtocol in a process that has too little processor time: it calls
+// beforeWait before each wait for a request.
+type slowProtocol struct {
+	lineProtocol
+	beforeWait func()
+}
+
+func (p slowProtocol) NewCodec(conn net.Conn) Codec {
+	return &lineCodec{conn: conn, reader: bufio.NewReader(conn), beforeWait: p.beforeWait}
+}
+
+func (c *lineCodec) HasUnread() bool { return c.reader.Buffered() > 0 }
+
 func (c *lineCodec) ReadStartup() (StartupMessage, error) {
 	line, err := c.reader.ReadString('\n')
 	return StartupMessage{RouteName: line}, err
@@ -87,6 +105,13 @@
 // startServer starts a server without databases. It returns its address, the function
 // that stops it, and the channel that receives its end.
 func startServer(t *testing.T) (netip.AddrPort, context.CancelFunc, <-chan error) {
+	t.Helper()
+	server, stop, ended := startServerWith(t, lineProtocol{})
+	return server.options.ListenAddress, stop, ended
+}
+
+// startServerWith starts a server without databases whose callers speak the protocol.
+func startServerWith(t *testing.T, protocol Protocol) (*Server, context.CancelFunc, <-chan error) {
 	t.Helper()
 	addresses, err := deploy.FreeAddresses(1)
 	if err != nil {
@@ -95,7 +120,7 @@
 	address := addresses[0]
 	routes := &oneRoute{}
 	server := NewServer(Options{
-		ListenAddress: address, Protocol: lineProtocol{}, Router: routes, PrimaryConfirmer: routes, Samples: routes,
+		ListenAddress: address, Protocol: protocol, Router: routes, PrimaryConfirmer: routes, Samples: routes,
 		Scheduler: placement.NewScheduler("lanier", lease.NewTable()),
 		Log:       eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
 	})
@@ -105,7 +130,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	return address, stop, ended
+	return server, stop, ended
 }
 
 func dial(t *testing.T, address netip.AddrPort) net.Conn {
@@ -143,6 +168,55 @@
 	}
 }
 
+// readLines reads lines until the connection ends.
+func readLines(conn net.Conn) []string {
+	lines := []string{}
+	for reader := bufio.NewReader(conn); ; {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return lines
+		}
+		lines = append(lines, line)
+	}
+}
+
+// Guards against requests that arrive behind another one and get no answer: a session
+// that is closed after an answer first serves what has arrived.
+func TestDrainAnswersRequestsThatHaveArrived(t *testing.T) {
+	server, _, _ := startServerWith(t, lineProtocol{})
+	conn := dial(t, server.options.ListenAddress)
+	_, _ = conn.Write([]byte("entries\nfirst\nsecond\n"))
+	for server.SessionCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	server.StartDraining()
+	rejected := statement.CodeBusy.String() + "\n"
+	if diff := cmp.Diff([]string{"ready\n", rejected, rejected}, readLines(conn)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a request that arrives before its session is closed and gets no answer
+// because the process has too little processor time to read it at once.
+func TestDrainAnswersRequestsOfSlowProcess(t *testing.T) {
+	const maxWaits = 10
+	waiting, drained := make(chan struct{}, maxWaits), make(chan struct{})
+	server, _, _ := startServerWith(t, slowProtocol{beforeWait: func() {
+		waiting <- struct{}{}
+		<-drained
+		time.Sleep(20 * time.Millisecond)
+	}})
+	conn := dial(t, server.options.ListenAddress)
+	_, _ = conn.Write([]byte("entries\n"))
+	<-waiting
+	_, _ = conn.Write([]byte("first\n"))
+	server.StartDraining()
+	close(drained)
+	if diff := cmp.Diff([]string{"ready\n", statement.CodeBusy.String() + "\n"}, readLines(conn)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A statement that no database can run is rejected as not run once the part of its time
 // that it may wait has passed, before the route's timeout.
 func TestStatementWithoutDatabaseIsRejected(t *testing.T) {
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -46,13 +46,8 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 )
 
-const (
-	// replyTimeout bounds the writing of one answer, for callers that do not read.
-	replyTimeout = 5 * time.Second
-	// requestTimeout bounds the reading of one request, from its first byte to
-	// its last.
-	requestTimeout = 10 * time.Second
-)
+// replyTimeout bounds the writing of one answer, for callers that do not read.
+const replyTimeout = 5 * time.Second
 
 // StartupMessage is the first message of a caller.
 type StartupMessage struct{ RouteName, User string }
@@ -72,6 +67,9 @@
 type Codec interface {
 	// AwaitRequest waits for the first byte of a request without consuming it.
 	AwaitRequest() error
+	// HasUnread reports whether data was read from the connection that belongs to no
+	// request read so far.
+	HasUnread() bool
 	// ReadStartup reads the startup message, ReadRequest the next request.
 	ReadStartup() (StartupMessage, error)
 	ReadRequest() (Request, error)
@@ -122,7 +120,7 @@
 	if s.transaction != nil {
 		return s.handleInTransaction(request, arrivedAt)
 	}
-	if s.server.isEnding() {
+	if s.server.hasReached(stageEnding) {
 		return failureAnswer(statement.CodeBusy, shuttingDownText, statement.TransactionStateIdle)
 	}
 	if answer, done := s.handleLocal(request.Statement); done {
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -41,7 +41,7 @@
 	if t.failed {
 		return s.handleFailed(req)
 	}
-	if s.server.isEnding() {
+	if s.server.hasReached(stageEnding) {
 		return s.concludeNotSent(req, &statement.FailureError{Code: statement.CodeAborted, Message: shuttingDownText})
 	}
 	if answer, done := s.handleLocal(request.Statement); done {
--- a/internal/edge/socket/socket.go
+++ b/internal/edge/socket/socket.go
@@ -6,9 +6,12 @@
 // The input is an address. The output is a connection that the operating system
 // closes when the other end stops acknowledging data or keepalive probes.
 //
+// The receive buffer of any connection can be examined without reading from it.
+//
 // # Usage
 //
 //	conn, err := socket.Dial(ctx, "tcp", address.String())
+//	if socket.HasUnread(conn) { ... }
 package socket
 
 import (
@@ -43,3 +46,24 @@
 	}
 	return dialer.DialContext(ctx, network, address)
 }
+
+// HasUnread reports whether a read from a connection would return at once, because data,
+// the end of the stream or an error has arrived. Deadlines of the connection don't
+// matter. It reports false for a connection that can't be examined.
+func HasUnread(conn net.Conn) bool {
+	examinable, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := examinable.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hasUnread := true
+	err = raw.Control(func(fd uintptr) {
+		var peeked [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		hasUnread = err != syscall.EAGAIN
+	})
+	return err != nil || hasUnread
+}
