The caller of a transaction that the proxy rolled back is told

What callers saw: at 0.8 of the grace period of an instance the connections of idle transactions ended without a word, so that the next request met the end of its connection. The outcome of a COMMIT is then open to its caller, who may not repeat it. After the limit for idle transactions the next statement was answered with MALFORMED, which says nothing about whether the transaction may be repeated either.

Cause: the end of the instance closed sessions inside transactions like idle ones; the promised ABORTED was sent only for a statement that was on its way at that moment. A transaction that failed while it was idle did not keep the reason for the caller.

Evidence: TestEndSessionsReportsRollback and TestIdleTransactionIsReported, before: "closed" in place of ABORTED, and MALFORMED in place of ABORTED.

Ruled out: statements inside transactions that had arrived before the end; they were answered with ABORTED.

Change: a transaction that is rolled back without a request keeps the reason, and the next statement is answered with it, whatever it is. At the end of an instance such a session stays open until that answer, or until the requests under way are interrupted at 0.9.

--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -135,6 +135,9 @@
 	phaseIdle
 	// phaseIdleInTransaction: the session waits for a request, inside a transaction.
 	phaseIdleInTransaction
+	// phaseIdleInFailedTransaction: the session waits for a request, inside a
+	// transaction that has failed.
+	phaseIdleInFailedTransaction
 )
 
 // record is the current phase of a session.
@@ -302,7 +305,8 @@
 }
 
 // awaitRequest waits for the next request and reports whether there is one. It rolls
-// back a transaction that is idle for longer than the limit. Only here does the server decide to close a session, so that each request
+// back a transaction that is idle for longer than the limit, or while the server is
+// ending. Only here does the server decide to close a session, so that each request
 // that has arrived is answered before.
 func (ses *session) awaitRequest() bool {
 	for {
@@ -318,8 +322,10 @@
 			return false
 		case ses.hasArrived():
 			return true
-		case interrupted:
+		case interrupted && (!ses.hasOpenTransaction() || ses.server.hasReached(stageClosing)):
 			return false
+		case interrupted:
+			ses.failIdleTransaction(shuttingDownText)
 		case isLimited:
 			ses.failIdleTransaction("the transaction was idle for longer than the limit")
 		}
@@ -356,8 +362,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	waiting := &record{phase: phaseIdle, since: clock.Now()}
-	if ses.transaction != nil {
+	switch {
+	case ses.hasOpenTransaction():
 		waiting.phase = phaseIdleInTransaction
+	case ses.transaction != nil:
+		waiting.phase = phaseIdleInFailedTransaction
 	}
 	s.sessions[ses] = waiting
 	deadline := time.Time{}
@@ -393,6 +402,8 @@
 		return s.stage >= stageDraining
 	case phaseIdleInTransaction:
 		return s.stage >= stageEnding
+	case phaseIdleInFailedTransaction:
+		return s.stage >= stageClosing
 	case phaseServing:
 	}
 	return false
@@ -451,9 +462,10 @@
 }
 
 // EndSessions ends all sessions, so that each request that was read gets an answer. No
-// further statement is sent to a database: open transactions are rolled back. Requests
-// that are being served have until limit to be answered by their databases. Then they
-// are interrupted, and answered with what is known of them.
+// further statement is sent to a database: open transactions are rolled back, and their
+// callers are told so with the answer to their next statement. After limit, the requests
+// that their databases have not answered are interrupted, and answered with what is known
+// of them; idle sessions are closed.
 func (s *Server) EndSessions(limit time.Duration) {
 	s.enter(stageEnding)
 	s.AwaitDrained(limit)
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -28,6 +28,9 @@
 	// sentWrite is set once a write was sent. failed is set once the transaction
 	// accepts only COMMIT and ROLLBACK.
 	sentWrite, failed bool
+	// unreported is why the transaction has failed without a request from the caller,
+	// until the caller has been told. It is nil otherwise.
+	unreported *statement.FailureError
 }
 
 // handleInTransaction answers a request inside a transaction.
@@ -38,6 +41,10 @@
 		s.rollBackTransaction()
 		return statement.Answer{TransactionState: statement.TransactionStateIdle}
 	}
+	if failure := t.unreported; failure != nil {
+		t.unreported = nil
+		return s.concludeNotSent(req, failure)
+	}
 	if t.failed {
 		return s.handleFailed(req)
 	}
@@ -256,7 +263,7 @@
 }
 
 // failIdleTransaction marks a transaction as failed and rolls it back, without a
-// request from the caller.
+// request from the caller. The caller's next statement is answered with the reason.
 func (s *session) failIdleTransaction(reason string) {
 	t := s.transaction
 	id := model.DatabaseID("")
@@ -266,6 +273,7 @@
 		t.attempt = nil
 	}
 	t.failed = true
+	t.unreported = &statement.FailureError{Code: statement.CodeAborted, Message: reason}
 	s.server.logEvent(event.TransactionEnded,
 		event.F("request", ""), event.F("route", t.route.Name), event.F("database", id), event.F("why", reason))
 }
