An ending instance waits for the answers to interrupted requests

What callers saw: requests that were read, and some that were passed on to a database, got no answer. When an instance was drained, a request whose interruption took longer than 100 ms was cut off although half a second of the grace period was left. When an instance ended without being drained, all requests under way were cut off.

Cause: EndSessions returned 100 ms after the interruption, and the end of the process closed all connections, whatever was still being answered. The end of the server's context closed the connections in the same moment as it interrupted the requests.

Ruled out: the log and the links between instances, which end after the sessions.

It returns at once when no session is left. The end of the server's context takes the same way, within 100 ms.

--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -33,8 +33,9 @@
 	// CloseIdleSessions closes it: a caller that has just connected is about to
 	// send a request.
 	minIdleTime = 250 * time.Millisecond
-	// interruptTimeout bounds the wait for the answers to interrupted requests.
-	interruptTimeout = 100 * time.Millisecond
+	// closeTimeout bounds the wait for the answers to requests that were interrupted
+	// because the server's context ended.
+	closeTimeout = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks whether a session remains.
 	drainPollInterval = 10 * time.Millisecond
 	// acceptRetryDelay is the delay after a connection could not be accepted, for
@@ -169,6 +170,7 @@
 		<-ctx.Done()
 		// The listener is closed because the context ended; an error adds nothing.
 		_ = listener.Close()
+		s.EndSessions(0, closeTimeout)
 		s.closeAll()
 		s.goroutines.Wait()
 		ended <- nil
@@ -456,22 +458,24 @@
 
 // AwaitDrained waits until no session remains, for limit at most.
 func (s *Server) AwaitDrained(limit time.Duration) {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && s.SessionCount() > 0; {
+	for start := clock.Now(); clock.Since(start) < limit && s.SessionCount() > 0; {
 		time.Sleep(drainPollInterval)
 	}
 }
 
 // EndSessions ends all sessions, so that each request that was read gets an answer. No
 // further statement is sent to a database: open transactions are rolled back, and their
-// callers are told so with the answer to their next statement. After limit, the requests
-// that their databases have not answered are interrupted, and answered with what is known
-// of them; idle sessions are closed.
-func (s *Server) EndSessions(limit time.Duration) {
+// callers are told so with the answer to their next statement. After interruptAfter, the
+// requests that their databases have not answered are interrupted, and answered with what
+// is known of them; idle sessions are closed. It returns once no session remains, at the
+// latest after closeAfter.
+func (s *Server) EndSessions(interruptAfter, closeAfter time.Duration) {
+	start := clock.Now()
 	s.enter(stageEnding)
-	s.AwaitDrained(limit)
+	s.AwaitDrained(interruptAfter)
 	s.enter(stageClosing)
 	s.interruptRequests()
-	s.AwaitDrained(interruptTimeout)
+	s.AwaitDrained(closeAfter - clock.Since(start))
 }
 
 // SessionCount returns the number of sessions. Connections whose startup message has not
