A message that is not valid is answered before its connection is closed

What callers saw: a message that is longer than the limit, has another keyword than the protocol's or a request without an id ended the connection without a word, and so did a first message that is not a startup message. The caller could not tell that from a fault.

Cause: the error of the codec ended the session like that of a broken connection.

Evidence: TestMalformedMessagesAreAnswered, before: "closed" in place of MALFORMED in all five cases.

Ruled out: statements that are malformed inside a valid message; they were answered with MALFORMED.

Change: the codec returns a failure for a message that is not valid, the session answers with it and closes the connection.

--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -222,11 +222,12 @@
 	ses := &session{server: s, conn: conn, codec: s.options.Protocol.NewCodec(conn)}
 	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	startup, err := ses.codec.ReadStartup()
+	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
 	if err != nil {
+		ses.rejectMessage(err)
 		return
 	}
 	ses.routeName = startup.RouteName
-	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
 	if !s.addSession(ses) {
 		return
 	}
@@ -299,6 +300,8 @@
 	arrivedAt := clock.Now()
 	request, err := ses.codec.ReadRequest()
 	if err != nil {
+		_ = ses.conn.SetWriteDeadline(time.Now().Add(replyTimeout))
+		ses.rejectMessage(err)
 		return false
 	}
 	answer := ses.handle(request, arrivedAt)
@@ -306,6 +309,15 @@
 	return ses.codec.WriteAnswer(answer) == nil
 }
 
+// rejectMessage tells the caller why its message was not accepted, if the reason is the
+// message and not the connection.
+func (ses *session) rejectMessage(err error) {
+	var failure *statement.FailureError
+	if errors.As(err, &failure) {
+		_ = ses.codec.WriteRejection(failure)
+	}
+}
+
 // awaitRequest waits for the next request and reports whether there is one. It rolls
 // back a transaction that is idle for longer than the limit, or while the server is
 // ending. Only here does the server decide to close a session, so that each request
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -70,7 +70,9 @@
 	// HasUnread reports whether data was read from the connection that belongs to no
 	// request read so far.
 	HasUnread() bool
-	// ReadStartup reads the startup message, ReadRequest the next request.
+	// ReadStartup reads the startup message, ReadRequest the next request. Their error
+	// is a *statement.FailureError if the message is not valid, which the caller is
+	// told.
 	ReadStartup() (StartupMessage, error)
 	ReadRequest() (Request, error)
 	// WriteReady accepts the caller. WriteRejection rejects it with the reason.
