A caller that reads slowly gets its whole answer

What callers saw: an answer that took longer than 5 s to write was cut off in the middle, although its caller read all the time.

Cause: the limit for callers that do not read was a deadline for the whole answer.

Ruled out: short answers, which fit into the buffers of the operating system.

Change: the write to a caller fails once the caller has read nothing for 5 s.

--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -219,10 +219,9 @@
 		return
 	}
 	defer s.removeStarting(conn)
-	ses := &session{server: s, conn: conn, codec: s.options.Protocol.NewCodec(conn)}
+	ses := &session{server: s, conn: conn, codec: s.options.Protocol.NewCodec(callerConn{conn})}
 	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	startup, err := ses.codec.ReadStartup()
-	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
 	if err != nil {
 		ses.rejectMessage(err)
 		return
@@ -261,6 +260,23 @@
 	return nil
 }
 
+// callerConn is a caller's connection. A write fails once the caller has read nothing for
+// replyTimeout, however long the whole write takes.
+type callerConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c callerConn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(replyTimeout))
+		n, err := c.Conn.Write(data[written:])
+		written += n
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
 // addStarting records a connection whose startup message has not been read. It reports
 // false if the server has ended.
 func (s *Server) addStarting(conn net.Conn) bool {
@@ -300,13 +316,10 @@
 	arrivedAt := clock.Now()
 	request, err := ses.codec.ReadRequest()
 	if err != nil {
-		_ = ses.conn.SetWriteDeadline(time.Now().Add(replyTimeout))
 		ses.rejectMessage(err)
 		return false
 	}
-	answer := ses.handle(request, arrivedAt)
-	_ = ses.conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-	return ses.codec.WriteAnswer(answer) == nil
+	return ses.codec.WriteAnswer(ses.handle(request, arrivedAt)) == nil
 }
 
 // rejectMessage tells the caller why its message was not accepted, if the reason is the
--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -217,6 +218,51 @@
 	}
 }
 
+// longProtocol is lineProtocol with an answer of the given length to each request.
+type longProtocol struct {
+	lineProtocol
+	length int
+}
+
+func (p longProtocol) NewCodec(conn net.Conn) Codec {
+	return &longCodec{Codec: p.lineProtocol.NewCodec(conn), conn: conn, length: p.length}
+}
+
+type longCodec struct {
+	Codec
+	conn   net.Conn
+	length int
+}
+
+func (c *longCodec) WriteAnswer(statement.Answer) error {
+	_, err := c.conn.Write(make([]byte, c.length))
+	return err
+}
+
+// Guards against an answer that is cut off because its caller reads slowly: only a caller
+// that reads nothing for replyTimeout is given up.
+func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	t.Parallel()
+	// The operating system buffers less than the last third of the answer.
+	const length, parts = 48 << 20, 24
+	server, _, _ := startServerWith(t, longProtocol{length: length})
+	conn := dial(t, server.options.ListenAddress)
+	if err := conn.(*net.TCPConn).SetReadBuffer(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = conn.Write([]byte("entries\nfirst\n"))
+	if _, err := io.ReadFull(conn, make([]byte, len("ready\n"))); err != nil {
+		t.Fatal(err)
+	}
+	part := make([]byte, length/parts)
+	for i := range parts {
+		time.Sleep(replyTimeout * 3 / 2 / parts)
+		if n, err := io.ReadFull(conn, part); err != nil {
+			t.Fatalf("the answer ended after %d of %d bytes: %v", i*len(part)+n, length, err)
+		}
+	}
+}
+
 // A statement that no database can run is rejected as not run once the part of its time
 // that it may wait has passed, before the route's timeout.
 func TestStatementWithoutDatabaseIsRejected(t *testing.T) {
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -46,7 +46,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 )
 
-// replyTimeout bounds the writing of one answer, for callers that do not read.
+// replyTimeout is how long a caller may read nothing of an answer.
 const replyTimeout = 5 * time.Second
 
 // StartupMessage is the first message of a caller.
