--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -28,7 +28,7 @@
 	// requestTimeout bounds the reading of one request, from its first byte to
 	// its last. lastRequestTimeout bounds it while the server closes its sessions.
 	requestTimeout     = 10 * time.Second
-	lastRequestTimeout = 50 * time.Millisecond
+	lastRequestTimeout = 200 * time.Millisecond
 	// minIdleTime is how long a session must have been idle before
 	// CloseIdleSessions closes it: a caller that has just connected is about to
 	// send a request.
