--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -153,7 +153,7 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(options Options) *Server {
-	return &Server{options: options, sessions: map[*session]*record{}, starting: map[net.Conn]bool{}}
+	return &Server{options: options, sessions: map[*session]*record{}, starting: map[net.Conn]bool{}, stage: stageServing}
 }
 
 // Start listens until ctx ends. The channel receives a value once the server and
--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -47,10 +47,7 @@
 
 // slowProtocol is lineProtocol in a process that has too little processor time: it calls
 // beforeWait before each wait for a request.
-type slowProtocol struct {
-	lineProtocol
-	beforeWait func()
-}
+type slowProtocol struct{ beforeWait func() }
 
 func (p slowProtocol) NewCodec(conn net.Conn) Codec {
 	return &lineCodec{conn: conn, reader: bufio.NewReader(conn), beforeWait: p.beforeWait}
