A member whose row was replaced has to write it again: a red test

What callers saw: nothing yet.

Cause, by a trial: if another writer replaces the row of a member before the other instances have read it, they never count it as a member. The member is meant to write its row again (decodeRow says so), but only the instance that reads the table for all does: the others are told by the first that they are members, because the first keeps the value it knew.

Ruled out: load alone.

--- a/internal/node/fleet/odd_rows_test.go
+++ b/internal/node/fleet/odd_rows_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// Guards against a member that an instance started later does not know: another writer
+// replaces the row of a member, and the member must write it again, since a failover
+// waits only for the members that are known.
+func TestOddRowOfMemberIsReplaced(t *testing.T) {
+	tf := newTestFleets(t, 2)
+	key := memberPrefix + "i2"
+	for _, f := range tf.fleets {
+		eventually(t, "the members", func() bool { return f.isMember() && len(f.memberNames()) == 1 })
+	}
+	tf.store.put(groupTable, key, "odd")
+	eventually(t, "the row of the member", func() bool {
+		tf.store.mu.Lock()
+		defer tf.store.mu.Unlock()
+		var written member
+		return decodeStored(tf.store.rows[groupTable+"/"+key].Value, &written) == nil
+	})
+}
+
 func FuzzDecodeStored(f *testing.F) {
 	for _, value := range []any{
 		&member{Address: netip.MustParseAddrPort("10.0.0.1:7000"), Zone: "lanier"},
