Reserve the addresses of a deployment's instances until it is stopped

TestProof/primary_killed did not start, because an instance found the address for its callers in use (127.0.0.1:28728, "bind: address already in use").

Cause: an address was chosen by listening on a random port and closing the listener again. Until the instance listened there, another deployment could choose the same port, in this test process or in that of another package. The same holds while an instance is restarted.

Ruled out: an outgoing connection; the ports lie below the range that Linux uses for them.

--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -111,11 +111,12 @@
 // startServerWith starts a server without databases whose callers speak the protocol.
 func startServerWith(t *testing.T, protocol Protocol) (*Server, context.CancelFunc, <-chan error) {
 	t.Helper()
-	addresses, err := deploy.FreeAddresses(1)
+	reservation, err := deploy.ReserveAddresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := addresses[0]
+	t.Cleanup(func() { _ = reservation.Close() })
+	address := reservation.Addresses[0]
 	routes := &oneRoute{}
 	server := NewServer(Options{
 		ListenAddress: address, Protocol: protocol, Router: routes, PrimaryConfirmer: routes, Samples: routes,
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -77,11 +77,12 @@
 // outgoing connection occupies.
 func freeLoopbackAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	addresses, err := deploy.FreeAddresses(1)
+	reservation, err := deploy.ReserveAddresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return addresses[0]
+	t.Cleanup(func() { _ = reservation.Close() })
+	return reservation.Addresses[0]
 }
 
 func requireStarted(t *testing.T, ended <-chan error, err error) {
--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -20,8 +20,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -95,6 +93,8 @@
 	directory string
 	processes []*Process
 	links     []*Link
+	// reservation holds the addresses of the instances until the deployment is stopped.
+	reservation *Reservation
 }
 
 // StartError reports a deployment that did not start completely.
@@ -153,6 +153,11 @@
 			firstErr = err
 		}
 	}
+	if d.reservation != nil {
+		if err := d.reservation.Close(); err != nil && firstErr == nil {
+			firstErr = err
+		}
+	}
 	if err := os.RemoveAll(d.directory); err != nil && firstErr == nil {
 		firstErr = errors.WithStack(err)
 	}
@@ -240,10 +245,12 @@
 		return errors.WithStack(err)
 	}
 	const addressesPerInstance = 3
-	addresses, err := FreeAddresses(addressesPerInstance * d.options.Instances)
+	reservation, err := ReserveAddresses(addressesPerInstance * d.options.Instances)
 	if err != nil {
 		return err
 	}
+	d.reservation = reservation
+	addresses := reservation.Addresses
 	for i := range d.options.Instances {
 		in := &Instance{
 			Name: fmt.Sprintf("%s-%d", d.zoneAt(i), i+1), Zone: d.zoneAt(i),
@@ -341,45 +348,6 @@
 level = "%s"
 `
 
-// The ports of the instances are chosen below the range that Linux uses for
-// outgoing connections by default (32768 and up), so that no outgoing connection
-// occupies a port between its choice and the start, or the restart, of its
-// instance.
-const (
-	lowestPort = 20000
-	portCount  = 12000
-	// maxPortAttempts is the maximum number of ports tried for one address.
-	maxPortAttempts = 100
-)
-
-// FreeAddresses returns distinct loopback addresses on which nothing listens.
-func FreeAddresses(count int) ([]netip.AddrPort, error) {
-	addresses := make([]netip.AddrPort, count)
-	for i := range addresses {
-		listener, err := listenOnRandomPort()
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().(*net.TCPAddr).AddrPort()
-	}
-	return addresses, nil
-}
-
-// listenOnRandomPort listens on a randomly chosen free port.
-func listenOnRandomPort() (net.Listener, error) {
-	var lastErr error
-	for range maxPortAttempts {
-		port := lowestPort + rand.IntN(portCount)
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(port)).String())
-		if err == nil {
-			return listener, nil
-		}
-		lastErr = err
-	}
-	return nil, errors.WithStack(lastErr)
-}
-
 var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
 
 // -----------------------------------------------------------------------------
