The end of the log's reader does not end an instance

What callers saw: all connections to an instance ended, requests that were passed on to a database among them, once whatever reads the instance's log had ended. A collector that gets the same SIGTERM as the instance does so at the beginning of the grace period.

Cause: Go ends a process that writes to standard output or standard error after the reader has gone, unless SIGPIPE is handled.

The other subcommands still end by it, as tools in a pipe should.

--- a/internal/command/proxy/verb_serve.go
+++ b/internal/command/proxy/verb_serve.go
@@ -42,6 +42,8 @@
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// The end of the log's reader must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	err = serve.Run(console.Context, serve.Options{
 		Settings:  parsed,
 		Version:   Version,
