Carry a tenant from a request to its database connection

Callers of deployments that name tenants are not told apart: every connection to a database is opened under the proxy's own name.

The types that the parts about tenants, limits and relays share come first: a tenant's name, its configuration with digests in place of keys, the tenant of a request, and connections that serve one tenant from their opening to their end. Nothing sets a tenant yet, so that the wire is unchanged. Tests of the touched packages pass.

--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -39,6 +39,10 @@
 // DatabaseID names one database of a group.
 type DatabaseID string
 
+// TenantID names a tenant: the callers that share an API key or several. It is empty
+// where the configuration names no tenants.
+type TenantID string
+
 // CallerID identifies the caller of a session: the user name of its connection.
 type CallerID string
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -68,6 +68,7 @@
 type Requirements struct {
 	Group     model.GroupID
 	Rank      model.Rank
+	Tenant    model.TenantID
 	ArrivedAt time.Time
 	// Target is the time by which the statement should be sent, Deadline the time
 	// after which it must not be; zero means none.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -49,8 +49,25 @@
 	// operation.
 	Timeout, LatencyTarget time.Duration
 	Rank                   model.Rank
+	// IsPublic is true if callers need no key of a tenant.
+	IsPublic bool
 }
 
+// Tenant is the configuration of the callers that share an API key or several.
+type Tenant struct {
+	Name model.TenantID
+	// Keys are the digests of its API keys; the keys themselves are not kept.
+	Keys []KeyDigest
+	// Priority orders the tenants of a rank; 0 is the most urgent.
+	Priority int
+	// Rate is the number of operations per second, over all instances, and Burst how many
+	// may come at once in addition. Zero for both means no limit.
+	Rate, Burst float64
+}
+
+// KeyDigest identifies an API key without containing it.
+type KeyDigest [32]byte
+
 // Group is the configuration of a group of databases.
 type Group struct {
 	Name model.GroupID
@@ -67,6 +84,8 @@
 	Version uint64
 	Routes  map[string]Route
 	Groups  map[model.GroupID]Group
+	// Tenants holds the tenants by name. It is empty if callers need no key.
+	Tenants map[model.TenantID]Tenant
 	// IdleTransactionTimeout is how long a transaction may be idle before it is rolled
 	// back; zero means no limit.
 	IdleTransactionTimeout time.Duration
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	pool := backend.NewPool(protocol)
-//	conn, err := pool.Get(ctx, database, variables)
+//	conn, err := pool.Get(ctx, database, tenant, variables)
 //	err = conn.Synchronize(ctx, timeout, backend.SessionState{Variables: variables})
 //	reply, err := conn.Run(ctx, timeout, request)
 //	pool.Put(conn)
@@ -58,9 +58,10 @@
 
 // Protocol performs the handshake with databases that use it.
 type Protocol interface {
-	// Handshake sends the startup message to the database behind conn. Its error
-	// is a *statement.FailureError if the database refused the connection.
-	Handshake(conn net.Conn, target placement.Database) (Codec, error)
+	// Handshake sends the startup message to the database behind conn, for a tenant or
+	// none. Its error is a *statement.FailureError if the database refused the
+	// connection.
+	Handshake(conn net.Conn, target placement.Database, tenant model.TenantID) (Codec, error)
 }
 
 // Codec writes statements and reads answers on one connection.
@@ -97,14 +98,15 @@
 	return &Pool{protocol: protocol, idle: map[model.DatabaseID][]*Conn{}}
 }
 
-// Get returns an idle connection, preferably one with the given variables, or
-// opens a new one. Its errors are *ConnectError, with a *statement.FailureError as
+// Get returns an idle connection of the given tenant, preferably one with the given
+// variables, or opens a new one. A connection serves one tenant until it is closed; no
+// tenant is one of its own. Its errors are *ConnectError, with a *statement.FailureError as
 // the cause if the database refused the connection.
-func (p *Pool) Get(ctx context.Context, target placement.Database, variables Variables) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, target placement.Database, tenant model.TenantID, variables Variables) (*Conn, error) {
 	for {
-		conn := p.takeIdle(target, variables)
+		conn := p.takeIdle(target, tenant, variables)
 		if conn == nil {
-			return p.connect(ctx, target)
+			return p.connect(ctx, target, tenant)
 		}
 		if conn.isOpen() {
 			return conn, nil
@@ -113,23 +115,29 @@
 	}
 }
 
-// takeIdle removes an idle connection from the pool and returns it, preferring one
-// that has the same variables. It returns nil if there is none, or if the one
+// takeIdle removes an idle connection of a tenant from the pool and returns it,
+// preferring one that has the same variables. It returns nil if there is none, or if the one
 // chosen leads to another address or to an earlier incarnation of the database.
-func (p *Pool) takeIdle(target placement.Database, variables Variables) *Conn {
+func (p *Pool) takeIdle(target placement.Database, tenant model.TenantID, variables Variables) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[target.ID]
-	if len(idle) == 0 {
-		return nil
-	}
-	chosen := len(idle) - 1
+	chosen := -1
 	for i := len(idle) - 1; i >= 0; i-- {
+		if idle[i].tenant != tenant {
+			continue
+		}
+		if chosen < 0 {
+			chosen = i
+		}
 		if idle[i].variables.Equal(variables) {
 			chosen = i
 			break
 		}
 	}
+	if chosen < 0 {
+		return nil
+	}
 	conn := idle[chosen]
 	p.idle[target.ID] = append(idle[:chosen], idle[chosen+1:]...)
 	if conn.target.Incarnation != target.Incarnation || conn.target.Address != target.Address {
@@ -140,7 +148,7 @@
 	return conn
 }
 
-func (p *Pool) connect(ctx context.Context, target placement.Database) (*Conn, error) {
+func (p *Pool) connect(ctx context.Context, target placement.Database, tenant model.TenantID) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	dialed, err := socket.Dial(ctx, "tcp", target.Address.String())
@@ -151,7 +159,7 @@
 		_ = dialed.SetDeadline(deadline)
 	}
 	stopInterrupt := interruptAtEnd(ctx, dialed)
-	codec, err := p.protocol.Handshake(dialed, target)
+	codec, err := p.protocol.Handshake(dialed, target, tenant)
 	if !stopInterrupt() && err == nil {
 		err = ctx.Err()
 	}
@@ -160,7 +168,7 @@
 		return nil, &ConnectError{Database: target.ID, Cause: err}
 	}
 	connectionsOpened.Add(string(target.Group), 1)
-	return &Conn{target: target, net: dialed, codec: codec, prepared: map[string]string{}}, nil
+	return &Conn{target: target, tenant: tenant, net: dialed, codec: codec, prepared: map[string]string{}}, nil
 }
 
 // Put returns a connection to the pool. It closes a connection that is inside a
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -24,6 +24,8 @@
 // Conn is one connection to a database. It may be used by one goroutine at a time.
 type Conn struct {
 	target placement.Database
+	// tenant is the one that the connection was opened for.
+	tenant model.TenantID
 	net    net.Conn
 	codec  Codec
 	// variables are those set on the connection. prepared maps each prepared
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 )
@@ -18,7 +19,7 @@
 type lineProtocol struct{}
 
 // Handshake implements Protocol.
-func (lineProtocol) Handshake(conn net.Conn, _ placement.Database) (Codec, error) {
+func (lineProtocol) Handshake(conn net.Conn, _ placement.Database, _ model.TenantID) (Codec, error) {
 	return &lineCodec{conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
@@ -85,8 +86,8 @@
 type confirmingProtocol struct{ lineProtocol }
 
 // Handshake implements Protocol.
-func (p confirmingProtocol) Handshake(conn net.Conn, target placement.Database) (Codec, error) {
-	codec, err := p.lineProtocol.Handshake(conn, target)
+func (p confirmingProtocol) Handshake(conn net.Conn, target placement.Database, tenant model.TenantID) (Codec, error) {
+	codec, err := p.lineProtocol.Handshake(conn, target, tenant)
 	if err == nil {
 		_, err = codec.Receive(statement.Request{})
 	}
@@ -103,7 +104,7 @@
 	const interruptAfter = connectTimeout / 8
 	time.AfterFunc(interruptAfter, cancel)
 	startedAt := time.Now()
-	_, err := pool.Get(ctx, placement.Database{ID: "a", Address: address}, nil)
+	_, err := pool.Get(ctx, placement.Database{ID: "a", Address: address}, "", nil)
 	var connectErr *ConnectError
 	if !errors.As(err, &connectErr) {
 		t.Fatalf("error %v, want a *ConnectError", err)
@@ -128,7 +129,7 @@
 			address, closeOne := startEchoServer(t)
 			pool := NewPool(lineProtocol{})
 			target := placement.Database{ID: "a", Address: address}
-			conn, err := pool.Get(t.Context(), target, nil)
+			conn, err := pool.Get(t.Context(), target, "", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -141,7 +142,7 @@
 				closeOne()
 			}
 			time.Sleep(2 * timeout)
-			next, err := pool.Get(t.Context(), target, nil)
+			next, err := pool.Get(t.Context(), target, "", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -158,12 +159,12 @@
 	address, _ := startEchoServer(t)
 	pool := NewPool(lineProtocol{})
 	target := placement.Database{ID: "a", Address: address, HasScarceConnections: true}
-	conn, err := pool.Get(t.Context(), target, nil)
+	conn, err := pool.Get(t.Context(), target, "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	pool.Put(conn)
-	if reused, err := pool.Get(t.Context(), target, nil); err != nil || reused != conn {
+	if reused, err := pool.Get(t.Context(), target, "", nil); err != nil || reused != conn {
 		t.Fatalf("the idle connection was not reused: %v", err)
 	}
 	time.Sleep(2 * scarceIdleTimeout)
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -53,6 +53,7 @@
 	requirements := placement.Requirements{
 		Group:           req.route.Group,
 		Rank:            req.route.Rank,
+		Tenant:          req.tenant,
 		ArrivedAt:       req.arrivedAt,
 		Deadline:        req.arrivedAt.Add(time.Duration(queueShare * float64(req.route.Timeout))),
 		RequiresPrimary: primary || req.route.Consistency == route.ConsistencyPrimary,
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, &statement.FailureError{Code: statement.CodeBusy, Message: "no database had room in time; " + retryAfterText}
 	}
-	conn, err := s.server.options.Pool.Get(ctx, reservation.Database, s.variables)
+	conn, err := s.server.options.Pool.Get(ctx, reservation.Database, req.tenant, s.variables)
 	if err != nil {
 		failure := connectFailure(err)
 		s.logRetry(req, reservation, err.Error())
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -105,6 +105,8 @@
 	Request
 	arrivedAt time.Time
 	route     route.Route
+	// tenant is the tenant of the session as of the request, or of its transaction.
+	tenant model.TenantID
 	// attempts is the number of attempts, queuedFor their total time in queues.
 	attempts  int
 	queuedFor time.Duration
--- a/internal/node/fleet/control.go
+++ b/internal/node/fleet/control.go
@@ -53,7 +53,7 @@
 ) (statement.ServerStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	conn, err := f.Pool.Get(ctx, d, nil)
+	conn, err := f.Pool.Get(ctx, d, "", nil)
 	if err != nil {
 		f.logControl(d, s, statement.ServerStatus{}, err)
 		return statement.ServerStatus{}, err
