Claim with the coordinator lease that this instance has just written

The pass now goes on with the newer of the view's row and the row that the instance has written. Whether it is the settled holder is still judged by its views alone, so that it waits for the leases of the earlier holder to expire.

Test: TestNewHolderClaimsWithItsOwnWrite, red before (the group's row was not claimed within 250 ms).

--- a/internal/node/fleet/coordinator.go
+++ b/internal/node/fleet/coordinator.go
@@ -62,6 +62,9 @@
 	// since holderLostAt.
 	lostHolder   model.InstanceID
 	holderLostAt time.Time
+	// written is the row of the coordinator lease that this instance has written last.
+	// It is newer than the view's until a view shows it.
+	written lease.CoordinatorLease
 	// holderSince is the time since boot, in nanoseconds, at which a view first showed
 	// this instance as the holder of the coordinator lease; zero if it is not.
 	holderSince atomic.Int64
@@ -75,9 +78,10 @@
 		return
 	}
 	f.recordHolder(view.CoordinatorLease)
-	f.clearChallenge(ctx, view.CoordinatorLease)
-	f.replaceLostHolder(ctx, view.CoordinatorLease)
-	if view.CoordinatorLease.Holder != f.options.StartID && !f.isFirst() {
+	f.clearChallenge(ctx, f.newestLease(view.CoordinatorLease))
+	f.replaceLostHolder(ctx, f.newestLease(view.CoordinatorLease))
+	held := f.newestLease(view.CoordinatorLease)
+	if held.Holder != f.options.StartID && !f.isFirst() {
 		// Only these two carry out failovers (see isCoordinator). The others need not
 		// collect the evidence about each group ten times a second.
 		return
@@ -95,7 +99,7 @@
 		if !needed {
 			reason, needed = succession.FailoverReason(f.evidence(name, row))
 		}
-		if !needed || !f.isCoordinator(ctx, view.CoordinatorLease) {
+		if !needed || !f.isCoordinator(ctx, held) {
 			continue
 		}
 		ended := make(chan struct{})
@@ -104,9 +108,9 @@
 		go func() {
 			defer f.running.Done()
 			defer close(ended)
-			f.failover(ctx, name, row, view.CoordinatorLease, reason)
+			f.failover(ctx, name, row, held, reason)
 		}()
-		if view.CoordinatorLease.Holder != f.options.StartID {
+		if held.Holder != f.options.StartID {
 			// This failover takes the coordinator lease. The others would conflict
 			// with it; they start once the view shows the lease.
 			return
--- a/internal/node/fleet/coordinator_lease.go
+++ b/internal/node/fleet/coordinator_lease.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// newestLease returns the newer of the view's row of the coordinator lease and the one
+// that this instance has written: a claim with the view's version would conflict with
+// the instance's own write.
+func (f *Fleet) newestLease(shown lease.CoordinatorLease) lease.CoordinatorLease {
+	if written := f.coordination.written; written.Version > shown.Version {
+		return written
+	}
+	return shown
+}
+
 // isSettledHolder reports whether this instance has held the coordinator lease for so
 // long that an earlier holder no longer acts: all views that show it have expired.
 func (f *Fleet) isSettledHolder(held lease.CoordinatorLease) bool {
@@ -111,7 +121,7 @@
 }
 
 // writeCoordinatorLease replaces the row of the coordinator lease, if it is
-// still at the version of updated.
+// still at the version of updated. Only startFailovers and what it calls may use it.
 func (f *Fleet) writeCoordinatorLease(
 	ctx context.Context, updated lease.CoordinatorLease,
 ) (uint64, error) {
@@ -127,6 +137,10 @@
 		event.F("token", updated.FencingToken),
 		event.F("challenger", updated.Challenger), event.F("outcome", outcome(err)))
 	f.requestRenewal()
+	if err == nil {
+		updated.Version = version
+		f.coordination.written = updated
+	}
 	return version, err
 }
 
--- a/internal/node/fleet/coordinator_test.go
+++ b/internal/node/fleet/coordinator_test.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -104,3 +107,47 @@
 		t.Error(diff)
 	}
 }
+
+// An instance that takes the coordinator lease from a lost holder and finds a failover
+// to carry out in the same pass must claim with the version that it has written: with
+// that of its view the claim conflicts, and the failover begins seconds later.
+func TestNewHolderClaimsWithItsOwnWrite(t *testing.T) {
+	f := newUnstartedFleet(1, 1)
+	rows := f.options.Store.(*memoryStore)
+	lost := lease.CoordinatorLease{Holder: "z1-9", FencingToken: 4}
+	changing := lease.GroupRow{Epoch: 1, Phase: lease.PhaseChanging, Primary: "a"}
+	rows.put(groupTable, coordinatorLeaseKey, string(f.encode(&lost)))
+	lost.Version = rows.version
+	rows.put(groupTable, groupPrefix+"ratings", string(f.encode(&changing)))
+	changing.Version = rows.version
+	for _, id := range []model.InstanceID{"z2-1", "z3-1"} {
+		f.receiveGossip(id, message.GossipState{StoreReachable: true})
+	}
+	f.options.ExpectedInstances = 3
+	f.storeReachable.Store(true)
+	f.Leases.Update(lease.View{
+		Version: rows.version, ReadStartedAt: clock.Now(), IsMember: true, CoordinatorLease: lost,
+		Rows: map[model.GroupID]lease.GroupRow{"ratings": changing},
+	})
+	f.coordination.lostHolder, f.coordination.holderLostAt = lost.Holder, clock.Now().Add(-lostHolderDelay)
+	ctx, cancel := context.WithCancel(t.Context())
+	f.startFailovers(ctx)
+	claimed := func() lease.GroupRow {
+		row := rows.row(groupTable, groupPrefix+"ratings")
+		var claimed lease.GroupRow
+		if err := msgpack.Unmarshal(row.Value, &claimed); err != nil {
+			t.Error(err)
+		}
+		return claimed
+	}
+	deadline := time.Now().Add(failoverRetryDelay / 2)
+	for claimed().Epoch == 1 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	f.running.Wait()
+	want := lease.GroupRow{Epoch: 2, Phase: lease.PhaseChanging, Primary: "a", Coordinator: f.options.StartID, Reason: "the change was left unfinished"}
+	if diff := cmp.Diff(want, claimed(), cmp.AllowUnexported(lease.GroupRow{})); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -95,6 +95,13 @@
 	s.changed = make(chan struct{})
 }
 
+// row returns the present value of a row.
+func (s *memoryStore) row(table, key string) store.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[table+"/"+key]
+}
+
 // remove deletes a row and wakes the watches.
 func (s *memoryStore) remove(table, key string) {
 	s.mu.Lock()
