Reject at once what the end of an outage comes too late for

While a group had no primary within reach, statements that need one were held for 0.8 of their route's timeout and then failed; the caller's own deadline passed with the next try.

Cause: the queue took the pace of a database that does not answer as unknown and rejected nothing.

internal/core/outage now estimates when the primary will be served again: from its stage (unanswered, changing, promoted) and from what each stage took here before. What can't be sent in its time after that is rejected at once, with the time to return; the others wait, and so do reads that a replica will be able to serve. Waiters are judged every 50 ms.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -36,6 +36,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/outage"
 )
 
 // Database is one database's entry in the directory.
@@ -129,6 +130,8 @@
 	byID   map[model.DatabaseID]*databaseState
 	// instances is the number of instances that share the databases.
 	instances int
+	// durations is what the steps of an outage take here, for all groups.
+	durations *outage.Durations
 }
 
 // group holds the databases of a group and the queue of waiters for them.
@@ -137,6 +140,8 @@
 	databases []*databaseState
 	waiting   []*waiter
 	demand    demand
+	// outage follows the group's primary.
+	outage outage.Tracker
 	// passedOver is the most urgent rank with a waiter that got no reservation in the
 	// present pass over the queue.
 	passedOver model.Rank
@@ -162,17 +167,24 @@
 	reservation  Reservation
 	rejected     bool
 	expectedWait time.Duration
+	stage        outage.Stage
 }
 
-// RejectedError reports that a statement can't be served within its time, since
-// others that can be are served first.
+// RejectedError reports that a statement can't be served within its time: others that
+// can be are served first, or the group has no primary until then.
 type RejectedError struct {
-	// ExpectedWait is the time after which a reservation was expected.
+	// ExpectedWait is the time after which a reservation was expected or, without a
+	// primary, after which the caller should return.
 	ExpectedWait time.Duration
+	// Stage is the stage of the group's primary.
+	Stage outage.Stage
 }
 
 // Error implements error.
 func (e *RejectedError) Error() string {
+	if e.Stage != outage.StageServing {
+		return "the group has no primary (" + e.Stage.String() + ") within the time that is left"
+	}
 	return "the expected wait of " + e.ExpectedWait.Round(time.Millisecond).String() + " exceeds the time that is left"
 }
 
@@ -181,6 +193,7 @@
 	return &Scheduler{
 		zone: zone, leases: leases, instances: 1,
 		groups: map[model.GroupID]*group{}, byID: map[model.DatabaseID]*databaseState{},
+		durations: outage.NewDurations(),
 	}
 }
 
@@ -256,7 +269,7 @@
 
 func (d decision) result() (Reservation, error) {
 	if d.rejected {
-		return Reservation{}, &RejectedError{ExpectedWait: d.expectedWait}
+		return Reservation{}, &RejectedError{ExpectedWait: d.expectedWait, Stage: d.stage}
 	}
 	return d.reservation, nil
 }
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -7,6 +7,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/outage"
 )
 
 const (
@@ -144,10 +145,14 @@
 // queue, as far as databases have capacity, and rejects those that can't be served in
 // time any more.
 func (s *Scheduler) assignReservations(now time.Time, g *group) {
-	if len(g.waiting) == 0 {
+	if len(g.waiting) == 0 && g.outage.Stage() == outage.StageServing {
 		return
 	}
 	grant, hasGrant := s.leases.Grant(g.name)
+	s.observePrimary(now, g, grant, hasGrant)
+	if len(g.waiting) == 0 {
+		return
+	}
 	estimator := waitEstimator{now: now, g: g, ahead: map[lane]int{}, inTime: map[lane]int{}}
 	if hasGrant {
 		estimator.primary = s.byID[grant.Primary]
@@ -165,8 +170,8 @@
 			w.decided <- decision{reservation: reservation}
 			continue
 		}
-		if estimator.rejectOrDelay(w, s.needsPrimary(now, g, &w.requirements, grant)) {
-			w.decided <- decision{rejected: true, expectedWait: w.expectedWait}
+		if s.rejectInOutage(&estimator, w, grant) || estimator.rejectOrDelay(w, s.needsPrimary(now, g, &w.requirements, grant)) {
+			w.decided <- decision{rejected: true, expectedWait: w.expectedWait, stage: g.outage.Stage()}
 			continue
 		}
 		g.passedOver = min(g.passedOver, w.requirements.Rank)
@@ -210,7 +215,7 @@
 }
 
 // scheduleWakeUp has the group's waiters considered again when the earliest pause of
-// its databases ends.
+// its databases ends, and from time to time while the primary does not answer.
 func (s *Scheduler) scheduleWakeUp(now time.Time, g *group) {
 	if len(g.waiting) == 0 {
 		return
@@ -221,6 +226,9 @@
 			earliest = until
 		}
 	}
+	if check := s.nextOutageCheck(now, g); !check.IsZero() && (earliest.IsZero() || check.Before(earliest)) {
+		earliest = check
+	}
 	if earliest.IsZero() || !g.wakeAt.IsZero() && !g.wakeAt.After(earliest) {
 		return
 	}
