--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,14 +85,23 @@
 }
 
 // oneRoute knows one route for all names, and confirms nothing.
-type oneRoute struct{ fresh.PositionSamples }
+type oneRoute struct {
+	fresh.PositionSamples
+	// isRevoked is set when the key of all callers identifies no tenant any more;
+	// isOld is set while it is not known whether the configuration is the newest.
+	isRevoked, isOld atomic.Bool
+}
 
-func (*oneRoute) Admit(string, route.KeyDigest) route.Admission {
-	return route.Admission{Route: route.Route{Group: "ratings", Timeout: 200 * time.Millisecond}}
+func (r *oneRoute) Admit(string, route.KeyDigest) route.Admission {
+	admission := route.Admission{Route: route.Route{Group: "ratings", Timeout: 200 * time.Millisecond}}
+	if r.isRevoked.Load() {
+		admission.Refusal = route.RefusalUnknownKey
+	}
+	return admission
 }
 
 func (r *oneRoute) ConfirmAdmission(_ context.Context, name string, key route.KeyDigest) (route.Admission, bool) {
-	return r.Admit(name, key), true
+	return r.Admit(name, key), !r.isOld.Load()
 }
 func (*oneRoute) IdleTransactionTimeout() time.Duration            { return 0 }
 func (*oneRoute) ConfigurationVersion() uint64                     { return 1 }
