Let a member know that its row can't be decoded

What callers lacked: a member whose row another writer had replaced did not write it again unless it was the first instance, so that an instance started later did not know it, and a failover there would not have waited for it.

Cause: the first instance keeps the earlier value of the row, which is right, but also reported the member as listed. Besides, a member that had read the table itself less than two minutes ago counted its own list whatever a peer reported.

Change: a row that can't be decoded is not reported as a membership.

TestNewerListOfMembersDecides is new.

--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -21,7 +21,8 @@
 	// sender has received from the receiver: anything that the sender learned after
 	// that is newer than EchoedClock by the receiver's own clock.
 	SenderClock, EchoedClock time.Duration
-	// ReceiverIsMember is true if the receiver is a member in the sender's view.
+	// ReceiverIsMember is true if the receiver is among the members that the sender has
+	// read, by a row that can be decoded (see MembersVersion).
 	ReceiverIsMember bool
 	// Leaving is true if the sender is draining, StoreReachable if the store has
 	// answered the sender's last request.
@@ -49,6 +50,9 @@
 	// availability zone; zero if no message has arrived from one of them.
 	// MinViewMembersHash is a hash of the names of these members.
 	MinViewVersion, MinViewMembersHash uint64
+	// MembersVersion is the version of the table of groups at which the sender read the
+	// members; zero if that was too long ago.
+	MembersVersion uint64
 }
 
 // GroupGossip is the part of a GossipState about one group.
--- a/internal/node/fleet/odd_rows_test.go
+++ b/internal/node/fleet/odd_rows_test.go
@@ -85,9 +85,13 @@
 					},
 					members: map[model.InstanceID]member{"m": {Zone: "lanier"}},
 				}
-				if diff := cmp.Diff(want, read(known), equal); diff != "" {
+				got := read(known)
+				if diff := cmp.Diff(want, got, equal); diff != "" {
 					t.Error(diff)
 				}
+				if !got.members["m"].isRejected {
+					t.Error("the member does not get to know that its row can't be decoded")
+				}
 			}
 			if diff := cmp.Diff(3, strings.Count(log.String(), "content-rejected")); diff != "" {
 				t.Error(diff, log.String())
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -72,6 +72,9 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The codec reads the tag.
 	Address  netip.AddrPort
 	Zone     model.ZoneID
+	// isRejected is set if the row can't be decoded any more, and the value is that of
+	// an earlier version: others wait for the member, which has to write its row again.
+	isRejected bool
 }
 
 // peer is the state of another instance.
--- a/internal/node/fleet/peers_gossip.go
+++ b/internal/node/fleet/peers_gossip.go
@@ -56,19 +56,19 @@
 	p.lastMessageAt = clock.Now()
 	p.gossip.SenderClock = request.SenderClock
 	lastReceived := p.gossip
-	members, areMembersRecent := f.peers.members, clock.Since(f.peers.membersReadAt) < maxMembersAge
+	list := f.peers.recentMembers()
 	f.peers.mu.Unlock()
-	f.sendGossip(to, f.gossip(), lastReceived, members, areMembersRecent)
+	f.sendGossip(to, f.gossip(), lastReceived, list)
 }
 
 // sendGossip completes the gossip for one peer, which has sent lastReceived,
 // and sends it.
 func (f *Fleet) sendGossip(
-	to model.InstanceID, state, lastReceived message.GossipState,
-	members map[model.InstanceID]member, areMembersRecent bool,
+	to model.InstanceID, state, lastReceived message.GossipState, list memberList,
 ) {
-	_, isListed := members[lastReceived.Instance]
-	state.EchoedClock, state.ReceiverIsMember = lastReceived.SenderClock, isListed && areMembersRecent
+	receiver, isListed := list.members[lastReceived.Instance]
+	state.EchoedClock, state.MembersVersion = lastReceived.SenderClock, list.version
+	state.ReceiverIsMember = isListed && !receiver.isRejected
 	f.peers.links.HandleAction(message.SendPeer{To: to, Body: state})
 }
 
@@ -85,11 +85,11 @@
 			lastReceived[id] = p.gossip
 		}
 	}
-	members, areMembersRecent := f.peers.members, clock.Since(f.peers.membersReadAt) < maxMembersAge
+	list := f.peers.recentMembers()
 	f.peers.mu.Unlock()
 	gossip := f.gossip()
 	for id, received := range lastReceived {
-		f.sendGossip(id, gossip, received, members, areMembersRecent)
+		f.sendGossip(id, gossip, received, list)
 	}
 }
 
@@ -310,7 +310,7 @@
 		view := lease.View{
 			Version: state.ViewVersion, ReadStartedAt: echoedAt.Add(-state.ViewAge),
 			CoordinatorLease: state.CoordinatorLease,
-			IsMember:         state.ReceiverIsMember || f.wasListedRecently(),
+			IsMember:         f.isMemberBy(state),
 			Rows:             make(map[model.GroupID]lease.GroupRow, len(state.Groups)),
 		}
 		for _, group := range state.Groups {
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -209,6 +209,31 @@
 	}
 }
 
+// An instance was listed when it last read the table itself. It must no longer count as a
+// member once a peer has read a newer version in which its row is gone or can't be
+// decoded, and must not trust a peer's older version that lists it after it has read that.
+func TestNewerListOfMembersDecides(t *testing.T) {
+	f := newUnstartedFleet(1, 3) // has read the members at version 10
+	version := uint64(10)
+	for _, c := range []struct {
+		membersVersion         uint64
+		receiverIsMember, want bool
+	}{{9, false, true}, {11, false, false}, {11, true, true}, {0, true, true}} {
+		version++
+		f.applyPeerView("z1-2", clock.Now(), message.GossipState{
+			ViewVersion: version, MembersVersion: c.membersVersion, ReceiverIsMember: c.receiverIsMember,
+		})
+		if got := f.isMember(); got != c.want {
+			t.Errorf("%+v: a member: %v", c, got)
+		}
+	}
+	f.updateMembers(map[model.InstanceID]member{}, 20)
+	f.applyPeerView("z1-2", clock.Now(), message.GossipState{ViewVersion: 21, MembersVersion: 19, ReceiverIsMember: true})
+	if f.isMember() {
+		t.Error("a member by a list that is older than the one without it")
+	}
+}
+
 // Each restart of an instance adds a peer, and each lost link an address: both
 // must be removed in time, so that the state does not grow with the number of
 // restarts.
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
@@ -108,13 +109,33 @@
 // isMember reports whether the newest view lists this instance.
 func (f *Fleet) isMember() bool { return f.Leases.View().IsMember }
 
-// wasListedRecently reports whether the members were read less than
-// maxMembersAge ago and this instance was among them. The list of a peer may be
-// older and not contain this instance yet.
-func (f *Fleet) wasListedRecently() bool {
+// memberList is the members that an instance has read, and the version of the table at
+// which it did; both are zero if that was too long ago.
+type memberList struct {
+	members map[model.InstanceID]member
+	version uint64
+}
+
+// recentMembers returns the other members if they were read less than maxMembersAge
+// ago. The peers must be locked.
+func (p *peers) recentMembers() memberList {
+	if clock.Since(p.membersReadAt) >= maxMembersAge {
+		return memberList{}
+	}
+	return memberList{members: p.members, version: p.membersVersion}
+}
+
+// isMemberBy reports whether this instance is a member by the newer of two lists: the
+// one that it has read itself, and the one of the peer that has sent state. The older
+// one may not contain this instance yet, or show its row as it was before another
+// writer replaced it.
+func (f *Fleet) isMemberBy(state message.GossipState) bool {
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
-	return f.peers.isListed && clock.Since(f.peers.membersReadAt) < maxMembersAge
+	if own := f.peers.recentMembers(); own.version > 0 && own.version >= state.MembersVersion {
+		return f.peers.isListed
+	}
+	return state.ReceiverIsMember
 }
 
 // updateMembers replaces the members by those read at a version of the table of
--- a/internal/node/fleet/stored_rows.go
+++ b/internal/node/fleet/stored_rows.go
@@ -28,8 +28,9 @@
 // decoded, or whose values are out of range, is logged once.
 //
 // In its place the value of known counts, with the version of the row, so that the next
-// change replaces the row. A member's own row is not among the known ones, so that the
-// member writes it again. Where no value is known, a group counts as one without a row,
+// change replaces the row. A member's own row is not among the known ones, and no peer
+// reports the member as one (see member.isRejected), so that it writes the row again.
+// Where no value is known, a group counts as one without a row,
 // and the version stands for the fencing token of the coordinator lease, which the row
 // hides: each token took a write, so that the version is at least as high.
 func (f *Fleet) decodeRow(row store.Row, known groupRows, read *groupRows) {
@@ -40,6 +41,7 @@
 		if f.decodeValue(row, &decoded) {
 			read.members[id] = decoded
 		} else if previous, found := known.members[id]; found {
+			previous.isRejected = true
 			read.members[id] = previous
 		}
 		return
