Read the members again when a peer of the zone knows others

What callers lacked: an instance that is not the first and that read the table before another one registered did not know that member for up to a minute, and chose its links and judged the views of its zone without it.

Cause: only the first instance reads the table all the time.

Change: an instance reads it again if a peer of its zone has read a newer version with other members there, once in five seconds at most. Where many start at once the reads are bounded by that.

--- a/internal/node/fleet/odd_rows_test.go
+++ b/internal/node/fleet/odd_rows_test.go
@@ -160,6 +160,17 @@
 	})
 }
 
+// Guards against a row of a member that is replaced before the others have read it: the
+// member must write it again, and each instance get to know the member, although only
+// the first reads the table all the time.
+func TestOddRowOfUnknownMember(t *testing.T) {
+	tf := newTestFleets(t, 3)
+	tf.store.put(groupTable, memberPrefix+"i2", "odd")
+	for _, f := range tf.fleets {
+		eventually(t, "the members", func() bool { return f.isMember() && len(f.memberNames()) == 2 })
+	}
+}
+
 func FuzzDecodeStored(f *testing.F) {
 	for _, value := range []any{
 		&member{Address: netip.MustParseAddrPort("10.0.0.1:7000"), Zone: "lanier"},
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -39,6 +39,10 @@
 	// which this instance reads the table itself, even if peers report newer
 	// views.
 	membersRefreshAge = time.Minute
+	// changedMembersRefreshAge is the same if a peer in the same availability zone has
+	// read a newer version with other members there. Where many instances start at once,
+	// each still reads the table no more often than that.
+	changedMembersRefreshAge = 5 * time.Second
 )
 
 // Links carries messages to peers.
--- a/internal/node/fleet/peers_gossip.go
+++ b/internal/node/fleet/peers_gossip.go
@@ -295,6 +295,9 @@
 		f.applyConfirmation(echoedAt, state)
 	}
 	f.requestNewer(from, state)
+	if f.hasOtherMembers(state) {
+		f.requestRenewal()
+	}
 	if isNew {
 		f.sendInitialGossip(from)
 		f.publishIfResized()
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -234,6 +234,39 @@
 	}
 }
 
+// Guards against an instance that does not know a new member until it happens to read the
+// table again, and against one that reads it each time a peer reports members.
+func TestTableIsReadAgainForOtherMembers(t *testing.T) {
+	f := newUnstartedFleet(1, 3)
+	own := f.peers.membersHash(f.options, "z1")
+	for name, c := range map[string]struct {
+		zone    model.ZoneID
+		version uint64
+		hash    uint64
+		age     time.Duration
+		want    bool
+	}{
+		"another member":               {"z1", 11, own + 1, changedMembersRefreshAge, true},
+		"the same members":             {"z1", 11, own, changedMembersRefreshAge, false},
+		"an older version":             {"z1", 10, own + 1, changedMembersRefreshAge, false},
+		"of another availability zone": {"z2", 11, own + 1, changedMembersRefreshAge, false},
+		"the own list is recent":       {"z1", 11, own + 1, changedMembersRefreshAge / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.Attach(hubLinks{hub: &hub{}, self: "z1-1"}, idleSessions{})
+			f.peers.membersReadAt = clock.Now().Add(-c.age)
+			f.handleGossip("z1-2", message.GossipState{Instance: "z1-2", Zone: c.zone, MembersVersion: c.version, MinViewMembersHash: c.hash})
+			got := len(f.renewal.requested) > 0
+			if got {
+				<-f.renewal.requested
+			}
+			if got != c.want {
+				t.Errorf("the table is read again: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Each restart of an instance adds a peer, and each lost link an address: both
 // must be removed in time, so that the state does not grow with the number of
 // restarts.
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -125,6 +125,17 @@
 	return memberList{members: p.members, version: p.membersVersion}
 }
 
+// hasOtherMembers reports whether a peer in the same availability zone has read a newer
+// version of the members, which differ there from those that this instance has read
+// changedMembersRefreshAge ago or longer.
+func (f *Fleet) hasOtherMembers(state message.GossipState) bool {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	return state.Zone == f.options.Zone && state.MembersVersion > f.peers.membersVersion &&
+		clock.Since(f.peers.membersReadAt) >= changedMembersRefreshAge &&
+		state.MinViewMembersHash != f.peers.membersHash(f.options, f.options.Zone)
+}
+
 // isMemberBy reports whether this instance is a member by the newer of two lists: the
 // one that it has read itself, and the one of the peer that has sent state. The older
 // one may not contain this instance yet, or show its row as it was before another
