Try a replica once more after slow first answers

What callers saw: after a start, reads that replicas could serve went to the primary, whose slots the writes need, because the first answer of each replica on a new connection was slow.

Cause: the first answer began the average latency with full weight, and each later one counts a fifth. 5 ms made a replica dearer than the primary, so that it got no later answer either until the average had decayed.

Change: a replica gets one read more, one at a time, whatever its first answers took, and the lowest of these latencies begins the average. The primary is not tried in this way. A replica that is really slow gets one read more from each instance, once.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -98,7 +98,11 @@
 
 // cost returns the cost of a read at a database; the lowest is preferred.
 func (s *Scheduler) cost(now time.Time, db *databaseState, isPrimary bool) time.Duration {
-	cost := (db.expectedLatency(now) + time.Millisecond) * time.Duration(1+db.inFlight)
+	latency := db.expectedLatency(now)
+	if !isPrimary && db.isExplored() {
+		latency = 0
+	}
+	cost := (latency + time.Millisecond) * time.Duration(1+db.inFlight)
 	switch {
 	case isPrimary && db.KeepsConnection:
 		cost *= keptPrimaryCostFactor
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -103,6 +103,9 @@
 	// latencyUpdatedAt.
 	latency          time.Duration
 	latencyUpdatedAt time.Time
+	// firstAnswerAt is the time of the first answer, until a statement that was sent
+	// after it is answered: until then the average is not trusted (see isExplored).
+	firstAnswerAt time.Time
 	// applied is the highest log position that was observed. lag is the estimated
 	// time until a commit reaches this database.
 	applied model.Position
@@ -149,6 +152,7 @@
 	case OutcomeBusy:
 		db.answered(now)
 		db.recordLatency(now, max(result.Elapsed, 2*db.latency))
+		db.firstAnswerAt = time.Time{}
 	case OutcomeConnectionLimit:
 		db.connectionRejections++
 		db.connectionLimitUntil = now.Add(db.connectionLimitDelay())
@@ -239,16 +243,30 @@
 	return min(connectionLimitBackoff<<min(max(db.connectionRejections-1, 0), doublings), maxConnectionLimitBackoff)
 }
 
-// recordLatency updates the average latency.
+// recordLatency updates the average latency. The lowest latency of the first answers and
+// of the next statement begins the average: the first statements on new connections also
+// prepare them.
 func (db *databaseState) recordLatency(now time.Time, elapsed time.Duration) {
-	if db.latency == 0 {
-		db.latency = elapsed
-	} else {
+	switch {
+	case db.latency == 0:
+		db.latency, db.firstAnswerAt = elapsed, now
+	case !db.firstAnswerAt.IsZero():
+		db.latency = min(db.latency, elapsed)
+		if sentAt := now.Add(-elapsed); !sentAt.Before(db.firstAnswerAt) {
+			db.firstAnswerAt = time.Time{}
+		}
+	default:
 		db.latency += time.Duration(latencyWeight * float64(elapsed-db.latency))
 	}
 	db.latencyUpdatedAt = now
 }
 
+// isExplored reports whether a read is to be sent whatever the latency of the first
+// answers. Only one is sent at a time, so that a slow database gets one read more.
+func (db *databaseState) isExplored() bool {
+	return !db.firstAnswerAt.IsZero() && db.inFlight == 0
+}
+
 // expectedLatency returns the average latency, lowered according to its age.
 func (db *databaseState) expectedLatency(now time.Time) time.Duration {
 	age := now.Sub(db.latencyUpdatedAt)
