Keep a primary suspected while too few databases respond to tell

What callers saw: where databases respond slowly, as on a busy machine, a group stayed without a primary for a long time after it had failed.

Cause: probes time out after 0.4 s, so that an instance has too few recent responses again and again. Its suspicion ended each time, and with it the wait in the coordinator order of up to 7.7 s.

Change: a suspicion outlasts two seconds in which too few databases respond to tell.

Not shown: that this made TestSoakOfManyInstances fail once.

--- a/internal/core/engine/constants.go
+++ b/internal/core/engine/constants.go
@@ -56,6 +56,9 @@
 	// streamLostAfter is the time for which all reachable replicas must report a
 	// lost replication stream before the primary is suspected.
 	streamLostAfter = 300 * time.Millisecond
+	// suspicionRetention is how long the primary stays suspected while too few databases
+	// respond to tell: a few times the timeout of a probe.
+	suspicionRetention = 2 * time.Second
 	// coordinatorStagger is the additional time that each further instance in the
 	// coordinator order waits before it claims a failover.
 	coordinatorStagger = 700 * time.Millisecond
--- a/internal/core/engine/failover_detect.go
+++ b/internal/core/engine/failover_detect.go
@@ -19,12 +19,16 @@
 func (e *Engine) updateSuspicion(g *group) {
 	st := &g.failover
 	evidence, reason := e.evidenceAgainstPrimary(g)
+	if evidence == nil && e.keepsSuspicion(g) {
+		return
+	}
 	if evidence == nil {
 		st.suspectedAt = time.Time{}
 		st.evidenceSince = time.Time{}
 		st.loggedReason = ""
 		return
 	}
+	st.evidenceAt = e.now
 	if st.evidenceSince.IsZero() {
 		st.evidenceSince = e.now
 	}
@@ -42,6 +46,18 @@
 		event.F("evidence", fmt.Sprint(evidence)))
 }
 
+// keepsSuspicion reports whether the primary stays suspected although the evidence against
+// it is not complete at present: too few databases have responded recently, but none has
+// shown that there is a primary. Where databases respond slowly, the wait in the
+// coordinator order would otherwise begin again with each late response.
+func (e *Engine) keepsSuspicion(g *group) bool {
+	st := &g.failover
+	if st.suspectedAt.IsZero() || e.now.Sub(st.evidenceAt) >= suspicionRetention {
+		return false
+	}
+	return e.replicaCounts(g).streaming == 0 && (g.primary == nil || !g.isReachablePrimary(e.now))
+}
+
 // primaryName returns the name of the known primary, or an empty name.
 func (g *group) primaryName() model.DatabaseID {
 	if g.primary == nil {
@@ -114,8 +130,8 @@
 	return counts
 }
 
-// startFailoverIfDue starts a failover if the primary is suspected and this
-// instance's delay in the coordinator order has passed.
+// startFailoverIfDue starts a failover if there is evidence against the primary at present
+// and this instance's delay in the coordinator order has passed since it was suspected.
 func (e *Engine) startFailoverIfDue(g *group) {
 	st := &g.failover
 	if st.suspectedAt.IsZero() {
@@ -123,7 +139,7 @@
 		return
 	}
 	claimDelay := time.Duration(e.coordinatorRank(g)) * coordinatorStagger
-	if e.now.Sub(st.suspectedAt) < claimDelay {
+	if e.now.Sub(st.suspectedAt) < claimDelay || st.evidenceAt.Before(e.now) {
 		return
 	}
 	st.step = failoverReadRow
--- a/internal/core/engine/table_failover.go
+++ b/internal/core/engine/table_failover.go
@@ -112,9 +112,11 @@
 	// notBefore delays the next attempt of a step.
 	notBefore time.Time
 	// suspectedAt is when the primary became suspected, zero if it is not;
-	// evidenceSince is since when there is evidence against it.
+	// evidenceSince is since when there is evidence against it, evidenceAt when there
+	// last was.
 	suspectedAt   time.Time
 	evidenceSince time.Time
+	evidenceAt    time.Time
 	evidence      []string
 	reason        string
 	// claimedAt is when the claim, whose row is claim, was known to be written.
