Let the scheduler say that a statement passes through a peer

A reservation may now be relayed: it holds no slot and no connection here, and its outcome is no evidence about the database. A policy says for which database and tenant that is so. A peer's statement names its database.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -42,11 +42,17 @@
 // if no database is eligible or has capacity. If hasGrant is false, the group has no
 // primary.
 func (s *Scheduler) choose(now time.Time, g *group, requirements *Requirements, grant lease.Grant, hasGrant bool) Reservation {
+	if requirements.Database != "" {
+		return s.chooseNamed(now, g, requirements, grant, hasGrant)
+	}
 	if requirements.RequiresPrimary {
 		if !hasGrant {
 			return Reservation{}
 		}
 		db := s.byID[grant.Primary]
+		if db != nil && db.Group == g.name && s.isRelayed(db, requirements) {
+			return Reservation{Database: db.Database, IsPrimary: true, Grant: grant, IsRelayed: true}
+		}
 		if db == nil || db.Group != g.name || !s.hasCapacity(now, g, db, requirements.Rank) || db.isUnresponsive(now) && db.inFlight > 0 {
 			return Reservation{}
 		}
@@ -57,10 +63,14 @@
 	if best == nil {
 		return Reservation{}
 	}
-	return Reservation{
+	reservation := Reservation{
 		Database: best.Database, IsPrimary: hasGrant && best.ID == grant.Primary, Grant: grant,
 		MinPosition: minPosition, MinPositionAsOf: minPositionAsOf, databaseState: best,
 	}
+	if s.isRelayed(best, requirements) {
+		reservation.IsRelayed, reservation.databaseState = true, nil
+	}
+	return reservation
 }
 
 // chooseReader returns the database with the lowest cost for a read, or nil if there
@@ -76,13 +86,17 @@
 	var lowestCost time.Duration
 	for _, db := range g.databases {
 		isPrimary := hasGrant && db.ID == grant.Primary
-		if !s.isReader(now, db, requirements) || !s.hasCapacity(now, g, db, requirements.Rank) {
+		isRelayed := s.isRelayed(db, requirements)
+		if !s.isReader(now, db, requirements) || !isRelayed && !s.hasCapacity(now, g, db, requirements.Rank) {
 			continue
 		}
 		if !isPrimary && (!hasSample || !db.hasProbablyReached(now, minPosition, minPositionAsOf)) {
 			continue
 		}
 		cost := s.cost(now, db, isPrimary)
+		if isRelayed {
+			cost += relayCost
+		}
 		if best == nil || cost < lowestCost {
 			best, lowestCost = db, cost
 		}
@@ -93,7 +107,7 @@
 // isReader reports whether a database may get reads with the given requirements, apart
 // from its capacity and position.
 func (s *Scheduler) isReader(now time.Time, db *databaseState, requirements *Requirements) bool {
-	return !db.Leaving && !db.isUnresponsive(now) && !slices.Contains(requirements.ExcludedDatabases, db.ID)
+	return !db.Leaving && (!db.isUnresponsive(now) || s.isRelayed(db, requirements)) && !slices.Contains(requirements.ExcludedDatabases, db.ID)
 }
 
 // cost returns the cost of a read at a database; the lowest is preferred.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -87,6 +87,10 @@
 	MinPositionAsOf time.Time
 	// ExcludedDatabases lists databases at which an attempt has just failed.
 	ExcludedDatabases []model.DatabaseID
+	// Database, if set, is the only database that may run the statement, with
+	// MinPosition as it is: a peer that has passed the statement to this instance has
+	// chosen both. Such a statement is never relayed further.
+	Database model.DatabaseID
 }
 
 // Reservation is one connection of a database and one statement in flight to it.
@@ -100,7 +104,11 @@
 	// confirmed as the primary.
 	MinPosition     model.Position
 	MinPositionAsOf time.Time
-	databaseState   *databaseState
+	// IsRelayed is true if the statement passes through a peer. The reservation then
+	// holds no connection and no slot here: the peer's own scheduler reserves both. What
+	// becomes of the statement is not counted for or against the database.
+	IsRelayed     bool
+	databaseState *databaseState
 }
 
 // minReplicaPosition returns the position that a replica must have reached, the time
@@ -132,6 +140,8 @@
 	instances int
 	// durations is what the steps of an outage take here, for all groups.
 	durations *outage.Durations
+	// relays is the policy for relayed statements; nil if there is none.
+	relays RelayPolicy
 }
 
 // group holds the databases of a group and the queue of waiters for them.
@@ -407,6 +417,9 @@
 // StartStatement records that another statement is sent under a reservation that is
 // still held, as in a transaction.
 func (s *Scheduler) StartStatement(reservation Reservation) {
+	if reservation.IsRelayed {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -416,6 +429,9 @@
 
 // FinishStatement records the result of a statement.
 func (s *Scheduler) FinishStatement(reservation Reservation, result Result) {
+	if reservation.IsRelayed {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db, now := reservation.databaseState, clock.Now()
@@ -436,6 +452,9 @@
 
 // Release returns the connection of a reservation to the scheduler.
 func (s *Scheduler) Release(reservation Reservation) {
+	if reservation.IsRelayed {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reservation.databaseState.connectionsInUse--
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -161,6 +161,10 @@
 	g.passedOver = noRank
 	for _, w := range g.waiting {
 		reservation := s.choose(now, g, &w.requirements, grant, hasGrant)
+		if reservation.IsRelayed {
+			w.decided <- decision{reservation: reservation}
+			continue
+		}
 		if db := reservation.databaseState; db != nil {
 			db.inFlight++
 			db.connectionsInUse++
@@ -202,7 +206,7 @@
 
 // needsPrimary reports whether only the primary can serve a waiter at present.
 func (s *Scheduler) needsPrimary(now time.Time, g *group, requirements *Requirements, grant lease.Grant) bool {
-	if requirements.RequiresPrimary {
+	if requirements.RequiresPrimary || requirements.Database != "" && requirements.Database == grant.Primary {
 		return true
 	}
 	minPosition, asOf, hasSample := requirements.minReplicaPosition()
