Pass statements through a peer where the path to a primary is cut

Callers of an instance that had lost the path to a primary were refused for as long as the cut lasted, also where the instance beside it still reached it.

internal/edge/relay carries statements to a peer, which runs them with its own scheduler and connections, and the answers back; the fleet asks peers whether a primary that is silent here answers them, and statements pass through those that it answers until it answers here again. A relay never passes them on. The outcome is kept apart as before: not run, answered, or lost. Sessions hold an interface where they held a connection.

--- a/internal/core/placement/relayed.go
+++ b/internal/core/placement/relayed.go
@@ -83,3 +83,26 @@
 	}
 	return min(longest, now.Sub(s.leases.EpochSeenSince(name)))
 }
+
+// IsPrimary reports whether a database is the primary of its group as far as this instance
+// knows.
+func (s *Scheduler) IsPrimary(id model.DatabaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	db := s.byID[id]
+	if db == nil {
+		return false
+	}
+	grant, found := s.leases.Grant(db.Group)
+	return found && grant.Primary == id
+}
+
+// AnsweredAt returns when a database has last answered this instance; zero if never.
+func (s *Scheduler) AnsweredAt(id model.DatabaseID) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if db := s.byID[id]; db != nil {
+		return db.lastAnswerAt
+	}
+	return time.Time{}
+}
--- a/internal/edge/peer/bench_test.go
+++ b/internal/edge/peer/bench_test.go
@@ -21,7 +21,7 @@
 			Instance: model.InstanceID(fmt.Sprintf("savannah-%d", 1000+i)), PeerAddress: heartbeat.PeerAddress,
 		})
 	}
-	frameSealer, frameOpener := sealer{key: make([]byte, 32)}, opener{key: make([]byte, 32)}
+	frameSealer, frameOpener := sealer{key: make([]byte, 32), limit: maxFrame}, opener{key: make([]byte, 32)}
 	size := 0
 	b.ReportAllocs()
 	for range b.N {
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -223,7 +223,7 @@
 	f.Fuzz(func(t *testing.T, content []byte, sealed bool) {
 		stream := string(content)
 		if sealed {
-			frame, err := (&sealer{key: key}).seal(content)
+			frame, err := (&sealer{key: key, limit: maxFrame}).seal(content)
 			if err != nil {
 				return
 			}
@@ -268,7 +268,7 @@
 func BenchmarkFrame(b *testing.B) {
 	for _, m := range samples {
 		b.Run(messageTypeOf(m).name, func(b *testing.B) {
-			frameSealer, frameOpener := sealer{key: testKey}, opener{key: testKey}
+			frameSealer, frameOpener := sealer{key: testKey, limit: maxFrame}, opener{key: testKey}
 			size := 0
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/edge/peer/connections.go
+++ b/internal/edge/peer/connections.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return session{}, conn, err
 	}
-	sess, err := handshake(conn, t.options.Instance, ownRole, secret)
+	sess, err := handshake(conn, linkProtocol, t.options.Instance, ownRole, secret)
 	return sess, conn, err
 }
 
--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -231,7 +231,7 @@
 }
 
 func (s *manualPeer) handshake() *manualPeer {
-	sess, err := handshake(s.conn, "z", roleDialer, testKey)
+	sess, err := handshake(s.conn, linkProtocol, "z", roleDialer, testKey)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -273,10 +273,10 @@
 		{"hello not decodable", "unreadable", func(s *manualPeer) { s.send([]byte{0, 1, 0xc1}) }},
 		{"hello too large", "size", func(s *manualPeer) { s.send(make([]byte, maxHandshakeFrame+1)) }},
 		{"other key", "authentication", func(s *manualPeer) {
-			_, _ = handshake(s.conn, "z", roleDialer, []byte("another key of it"))
+			_, _ = handshake(s.conn, linkProtocol, "z", roleDialer, []byte("another key of it"))
 		}},
 		{"proof of the other role", "authentication", func(s *manualPeer) {
-			mine, _ := newHello("z")
+			mine, _ := newHello(linkProtocol, "z")
 			theirs, _ := exchange(s.conn, roleDialer, mine, nil)
 			s.send(hmacSHA256(testKey, []byte("proof acceptor"), buildTranscript(roleDialer, mine, theirs)))
 		}},
@@ -373,12 +373,12 @@
 			_, _ = exchange(conn, roleAcceptor, []byte{0, 9, 0x80}, nil)
 		}},
 		{"invalid proof of the key", "authentication", func(conn net.Conn) {
-			mine, _ := newHello("z")
+			mine, _ := newHello(linkProtocol, "z")
 			_, _ = exchange(conn, roleAcceptor, mine, nil)
 			_, _ = exchange(conn, roleAcceptor, make([]byte, 32), nil)
 		}},
 		{"the dialer's proof sent back", "authentication", func(conn net.Conn) {
-			mine, _ := newHello("z")
+			mine, _ := newHello(linkProtocol, "z")
 			_, _ = exchange(conn, roleAcceptor, mine, nil)
 			proof, _ := readFrame(conn, maxHandshakeFrame)
 			_ = writeFrame(conn, proof)
--- a/internal/edge/peer/frame.go
+++ b/internal/edge/peer/frame.go
@@ -44,12 +44,9 @@
 	return frame.Bytes(), nil
 }
 
-// writeFrame writes frame after its length. Its errors are *FrameSizeError and
-// those of w.
+// writeFrame writes frame, which a sealer has made or a handshake, after its length. Its
+// errors are those of w.
 func writeFrame(w io.Writer, frame []byte) error {
-	if len(frame) > maxFrame {
-		return &FrameSizeError{Size: len(frame), Limit: maxFrame}
-	}
 	var header [lengthSize]byte
 	binary.BigEndian.PutUint32(header[:], uint32(len(frame)))
 	if _, err := w.Write(header[:]); err != nil {
@@ -66,14 +63,16 @@
 type sealer struct {
 	key      []byte
 	sequence uint64
+	// limit is the maximum size of a frame, in bytes.
+	limit int
 }
 
 // seal returns the frame that carries content: the sequence number, the content,
 // and the MAC of both. Its error is *FrameSizeError.
 func (s *sealer) seal(content []byte) ([]byte, error) {
 	size := sequenceSize + len(content) + macSize
-	if size > maxFrame {
-		return nil, &FrameSizeError{Size: size, Limit: maxFrame}
+	if size > s.limit {
+		return nil, &FrameSizeError{Size: size, Limit: s.limit}
 	}
 	frame := make([]byte, 0, size)
 	frame = binary.BigEndian.AppendUint64(frame, s.sequence)
--- a/internal/edge/peer/handshake.go
+++ b/internal/edge/peer/handshake.go
@@ -14,8 +14,21 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
+// Protocol identifies what two ends speak after the handshake. Ends of different
+// protocols, or of different versions of one, refuse each other.
+type Protocol struct {
+	// Name is part of each proof and key. It is empty for the links of Transport.
+	Name    string
+	Version uint16
+	// MaxFrame is the maximum size of a frame without its length prefix, in bytes.
+	MaxFrame int
+}
+
+// linkProtocol is the protocol of the links of Transport.
+var linkProtocol = Protocol{Name: "", Version: protocolVersion, MaxFrame: maxFrame}
+
 const (
-	// protocolVersion is the version of the protocol between peers.
+	// protocolVersion is the version of the protocol of the links.
 	protocolVersion uint16 = 1
 	// versionSize is the size of the version at the start of a hello, in bytes.
 	versionSize = 2
@@ -67,8 +80,8 @@
 // handshake exchanges hellos with the other end, then proofs that both hold secret:
 // MACs over both hellos, which contain nonces. The dialer sends first in each
 // exchange. The caller must set the deadlines of conn.
-func handshake(conn net.Conn, self model.InstanceID, ownRole role, secret []byte) (session, error) {
-	ownFrame, err := newHello(self)
+func handshake(conn net.Conn, protocol Protocol, self model.InstanceID, ownRole role, secret []byte) (session, error) {
+	ownFrame, err := newHello(protocol, self)
 	if err != nil {
 		return session{}, err
 	}
@@ -76,14 +89,14 @@
 	if err != nil {
 		return session{}, err
 	}
-	peerHello, err := readHello(peerFrame)
+	peerHello, err := readHello(protocol, peerFrame)
 	if err != nil {
 		return session{}, err
 	}
 	if peerHello.Instance == self {
 		return session{}, &SelfConnectionError{Instance: self}
 	}
-	transcript := buildTranscript(ownRole, ownFrame, peerFrame)
+	transcript := append(buildTranscript(ownRole, ownFrame, peerFrame), protocol.Name...)
 	expectedProof := hmacSHA256(secret, []byte("proof "+ownRole.opposite()), transcript)
 	verifyProof := func(proof []byte) error {
 		if !hmac.Equal(proof, expectedProof) {
@@ -96,7 +109,7 @@
 	}
 	return session{
 		peer:   peerHello.Instance,
-		sealer: sealer{key: hmacSHA256(secret, []byte("frames "+ownRole), transcript)},
+		sealer: sealer{key: hmacSHA256(secret, []byte("frames "+ownRole), transcript), limit: protocol.MaxFrame},
 		opener: opener{key: hmacSHA256(secret, []byte("frames "+ownRole.opposite()), transcript)},
 	}, nil
 }
@@ -124,7 +137,7 @@
 	return received, nil
 }
 
-func newHello(self model.InstanceID) ([]byte, error) {
+func newHello(protocol Protocol, self model.InstanceID) ([]byte, error) {
 	nonce := make([]byte, nonceSize)
 	// rand.Read never returns an error.
 	_, _ = rand.Read(nonce)
@@ -132,17 +145,17 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return append(binary.BigEndian.AppendUint16(nil, protocolVersion), body...), nil
+	return append(binary.BigEndian.AppendUint16(nil, protocol.Version), body...), nil
 }
 
 // readHello decodes a frame with a hello. Its errors are *FrameSizeError,
 // *ProtocolVersionError and *MessageCodingError.
-func readHello(frame []byte) (hello, error) {
+func readHello(protocol Protocol, frame []byte) (hello, error) {
 	if len(frame) < versionSize {
 		return hello{}, &FrameSizeError{Size: len(frame), Limit: maxHandshakeFrame}
 	}
-	if got := binary.BigEndian.Uint16(frame); got != protocolVersion {
-		return hello{}, &ProtocolVersionError{Got: got, Want: protocolVersion}
+	if got := binary.BigEndian.Uint16(frame); got != protocol.Version {
+		return hello{}, &ProtocolVersionError{Got: got, Want: protocol.Version}
 	}
 	var h hello
 	if err := msgpack.Unmarshal(frame[versionSize:], &h); err != nil {
--- /dev/null
+++ b/internal/edge/relay/outbox.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/peer"
+)
+
+const (
+	// maxQueuedFrames and maxQueuedBytes bound what waits to be written to one link.
+	maxQueuedFrames = 1024
+	maxQueuedBytes  = 16 << 20
+	// writeTimeout is how long the other end may take no data.
+	writeTimeout = 2 * time.Second
+)
+
+// outgoing is a frame in an outbox. It is claimed once: by the writer, which then sends
+// it, or by the one who has queued it, so that it is never sent.
+type outgoing struct {
+	content []byte
+	claimed atomic.Bool
+	// written, if set, is called once the frame has been written or dropped.
+	written func()
+}
+
+// claim returns true to the first who calls it.
+func (o *outgoing) claim() bool { return o.claimed.CompareAndSwap(false, true) }
+
+// outbox holds the frames to be written to one link.
+type outbox struct {
+	// wake has a capacity of one and receives a value when a frame is queued.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	queued []*outgoing
+	bytes  int
+}
+
+func newOutbox() *outbox { return &outbox{wake: make(chan struct{}, 1)} }
+
+// push queues a frame. It returns false if the outbox is full.
+func (b *outbox) push(frame *outgoing) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queued) >= maxQueuedFrames || b.bytes+len(frame.content) > maxQueuedBytes {
+		return false
+	}
+	b.queued = append(b.queued, frame)
+	b.bytes += len(frame.content)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// take removes and returns all queued frames.
+func (b *outbox) take() []*outgoing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	queued := b.queued
+	b.queued, b.bytes = nil, 0
+	return queued
+}
+
+// write writes the queued frames to a channel until closed is closed or a write fails,
+// whose error it returns.
+func (b *outbox) write(channel *peer.Channel, closed <-chan struct{}) error {
+	for {
+		for _, frame := range b.take() {
+			if !frame.claim() {
+				continue
+			}
+			err := channel.Write(frame.content, writeTimeout)
+			if frame.written != nil {
+				frame.written()
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if err := channel.Flush(); err != nil {
+			return err
+		}
+		select {
+		case <-closed:
+			return &LinkClosedError{}
+		case <-b.wake:
+		}
+	}
+}
+
+// drop calls the written function of the frames that are left.
+func (b *outbox) drop() {
+	for _, frame := range b.take() {
+		if frame.claim() && frame.written != nil {
+			frame.written()
+		}
+	}
+}
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/relay"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/metrics"
 )
@@ -35,10 +36,20 @@
 	notConfirmedText = "no primary is confirmed; retry after 500 ms"
 )
 
+// connection is the way to the database of an attempt: a connection of this instance
+// (*backend.Conn), or one through a relay (*relay.Conn).
+type connection interface {
+	// RunIn sends a statement with the state of the session that it needs, and returns
+	// the answer.
+	RunIn(ctx context.Context, timeout time.Duration, state backend.SessionState, request statement.Request) (*backend.Reply, error)
+	// Close ends it. The database then rolls back an open transaction.
+	Close()
+}
+
 // attempt is one attempt to run a statement: a reservation with its connection.
 type attempt struct {
 	reservation placement.Reservation
-	conn        *backend.Conn
+	conn        connection
 	sentAt      time.Time
 }
 
@@ -89,75 +100,54 @@
 	if err != nil {
 		return nil, &statement.FailureError{Code: statement.CodeBusy, Message: "no database had room in time; " + retryAfterText}
 	}
+	if reservation.IsRelayed {
+		conn, found := s.server.options.Relays.Open(requirements, reservation, req.excludedRelays)
+		if !found {
+			return nil, &statement.FailureError{Code: statement.CodeBusy, Message: "no relay reaches the database; " + retryAfterText}
+		}
+		return &attempt{reservation: reservation, conn: conn}, nil
+	}
 	conn, err := s.server.options.Pool.Get(ctx, reservation.Database, req.tenant, s.variables)
 	if err != nil {
-		failure := connectFailure(err)
 		s.logRetry(req, reservation, err.Error())
-		s.server.options.Scheduler.FinishStatement(reservation, placement.Result{Outcome: outcomeOfFailure(failure.Code, placement.OutcomeUnreachable)})
+		s.server.options.Scheduler.FinishStatement(reservation, backend.ResultOfConnect(err))
 		s.server.options.Scheduler.Release(reservation)
-		return nil, failure
+		return nil, backend.ConnectFailure(err)
 	}
 	return &attempt{reservation: reservation, conn: conn}, nil
 }
 
-// connectFailure returns the failure for a connection that could not be opened.
-func connectFailure(err error) *statement.FailureError {
-	var failure *statement.FailureError
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return &statement.FailureError{Code: statement.CodeBusy, Message: err.Error()}
-}
-
-// outcomeOfFailure returns the placement outcome of a failure with the given code, or
-// fallback if the code has no placement outcome of its own.
-func outcomeOfFailure(code statement.Code, fallback placement.Outcome) placement.Outcome {
-	switch code {
-	case statement.CodeConnectionLimit:
-		return placement.OutcomeConnectionLimit
-	case statement.CodeBehind:
-		return placement.OutcomeBehind
-	case statement.CodeWrongDatabase:
-		return placement.OutcomeUnreachable
-	case statement.CodeNotPrimary:
-		return placement.OutcomeNotPrimary
-	case statement.CodeBusy, statement.CodeAborted, statement.CodePreparedStatementNotFound,
-		statement.CodeMalformed, statement.CodeGroupNotFound, statement.CodeAccessDenied, statement.CodeExecutionFailed, statement.CodeTimeout,
-		statement.CodeOutcomeUnknown, statement.CodeUnrecognized:
-	}
-	return fallback
-}
-
-// sendStatement synchronizes the connection with the session, and then sends a
-// statement and returns the reply to it. begin opens the transaction to which the
-// statement belongs, unless it is nil. Without a reply, the error is a
-// *backend.SyncError if the statement was not sent, and otherwise a
-// *backend.ConnectionLostError.
+// sendStatement sends a statement, with the state of the session that the connection must
+// have for it, and returns the reply to it. begin opens the transaction to which the
+// statement belongs, unless it is nil. Without a reply, notSent tells whether the statement
+// was sent.
 func (s *session) sendStatement(req *pendingRequest, att *attempt, begin *statement.Request, timeout time.Duration) (*backend.Reply, error) {
 	state := backend.SessionState{Variables: s.variables, Begin: begin}
-	execute, isExecute := req.Statement.(statement.Execute)
-	if isExecute {
+	if execute, isExecute := req.Statement.(statement.Execute); isExecute {
 		prepared := s.prepared[execute.Name]
 		state.Prepared = &prepared
 	}
 	att.sentAt = clock.Now()
-	if err := att.conn.Synchronize(s.server.requestCtx, timeout, state); err != nil {
-		return nil, err
-	}
 	request := statement.Request{ID: req.ID, Statement: req.Statement}
-	if isExecute {
-		request.Statement = statement.Execute{Name: att.conn.PreparedName(*state.Prepared), Arguments: execute.Arguments}
-	}
 	if s.transaction == nil {
 		request.MinPosition = att.reservation.MinPosition
 	}
-	return att.conn.Run(s.server.requestCtx, timeout-clock.Since(att.sentAt), request)
+	return att.conn.RunIn(s.server.requestCtx, timeout, state, request)
 }
 
-// notSent returns the failure for a statement that was not sent because its connection
-// could not be synchronized with the session, or nil for any other error. The failure
-// guarantees that nothing was kept, whatever the refused request's own code is.
-func notSent(err error) *statement.FailureError {
+// notSent returns the failure for a statement that was not sent to a database, because its
+// connection could not be synchronized with the session or its relay did not run it. It
+// returns nil for any other error. The failure guarantees that nothing was kept, whatever
+// the refused request's own code is.
+func (s *session) notSent(req *pendingRequest, err error) *statement.FailureError {
+	var notRun *relay.NotRunError
+	if errors.As(err, &notRun) {
+		if notRun.Reason == relay.ReasonRejected {
+			req.rejected = true
+			return rejection(&placement.RejectedError{ExpectedWait: notRun.ExpectedWait})
+		}
+		return &statement.FailureError{Code: statement.CodeAborted, Message: notRun.Error()}
+	}
 	var syncErr *backend.SyncError
 	if !errors.As(err, &syncErr) {
 		return nil
@@ -171,38 +161,30 @@
 // reportOutcome reports the outcome of an attempt's statement to the scheduler.
 // isWrite is set for a statement that only a primary carries out.
 func (s *session) reportOutcome(att *attempt, isWrite bool, reply *backend.Reply, err error) {
-	var syncErr *backend.SyncError
-	if errors.As(err, &syncErr) {
-		reply = syncErr.Refusal
-	}
-	result := placement.Result{Outcome: placement.OutcomeAnswered, Elapsed: clock.Since(att.sentAt)}
-	switch {
-	case reply == nil:
-		result.Outcome = placement.OutcomeConnectionLost
-		var lost *backend.ConnectionLostError
-		if errors.As(err, &lost) && lost.IsTimeout() {
-			// The database is unresponsive or slow, which the scheduler detects
-			// itself.
-			result.Outcome = placement.OutcomeNotSent
-		}
-	case reply.Failure == nil && isWrite:
-		result.Outcome = placement.OutcomeWritten
-	case reply.Failure != nil:
-		result.Outcome = outcomeOfFailure(reply.Failure.Code, placement.OutcomeAnswered)
-		if reply.Failure.Code == statement.CodeBusy {
-			result.Outcome = placement.OutcomeBusy
-		}
-		result.Lag = max(clock.Since(att.reservation.MinPositionAsOf), s.server.options.Samples.SamplesOf(att.reservation.Database.Group).Lag(clock.Now(), reply.Position))
-	}
-	if reply != nil {
-		result.Position = reply.Position
+	result := backend.ResultOf(reply, err, isWrite, clock.Since(att.sentAt))
+	if result.Outcome == placement.OutcomeBehind {
+		result.Lag = max(clock.Since(att.reservation.MinPositionAsOf), s.server.options.Samples.SamplesOf(att.reservation.Database.Group).Lag(clock.Now(), result.Position))
 	}
 	s.server.options.Scheduler.FinishStatement(att.reservation, result)
 }
 
+// excludeAttempt leaves the database of an attempt that has failed out of the next ones, or
+// only the relay if it went through one.
+func (s *session) excludeAttempt(req *pendingRequest, requirements *placement.Requirements, att *attempt) {
+	if conn, isRelayed := att.conn.(*relay.Conn); isRelayed {
+		req.excludedRelays = append(req.excludedRelays, conn.Relay())
+		return
+	}
+	requirements.ExcludedDatabases = append(requirements.ExcludedDatabases, att.reservation.Database.ID)
+}
+
 // endAttempt releases an attempt's reservation, and returns its connection to the pool.
 func (s *session) endAttempt(att *attempt) {
-	s.server.options.Pool.Put(att.conn)
+	if conn, isOwn := att.conn.(*backend.Conn); isOwn {
+		s.server.options.Pool.Put(conn)
+	} else {
+		att.conn.Close()
+	}
 	s.server.options.Scheduler.Release(att.reservation)
 }
 
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/relay"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
@@ -77,6 +78,14 @@
 	SamplesOf(group model.GroupID) *fresh.PositionSamples
 }
 
+// Relays opens the way to databases that this instance sends no statements to itself.
+type Relays interface {
+	// Open returns a connection to the database of a relayed reservation, through the
+	// preferred relay that is not among excluded. It returns false if there is none.
+	// Nothing is sent before a statement is run.
+	Open(requirements placement.Requirements, reservation placement.Reservation, excluded []netip.AddrPort) (conn *relay.Conn, found bool)
+}
+
 // Options are the dependencies and settings of a Server.
 type Options struct {
 	ListenAddress netip.AddrPort
@@ -88,7 +97,9 @@
 	Samples          SampleSource
 	Scheduler        *placement.Scheduler
 	Pool             *backend.Pool
-	Log              *eventlog.Writer
+	// Relays may be nil if the scheduler has no relay policy.
+	Relays Relays
+	Log    *eventlog.Writer
 }
 
 // Server serves callers' sessions. NewServer makes one.
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -38,6 +38,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -116,6 +117,8 @@
 	queuedFor time.Duration
 	// rejected is set once the scheduler has rejected the statement for good.
 	rejected bool
+	// excludedRelays are the relays that have failed to run the statement.
+	excludedRelays []netip.AddrPort
 }
 
 // remaining returns the time until the route's timeout for the statement.
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -49,7 +49,7 @@
 			}
 			failure = result.reason
 			s.logRetry(req, reservation, failure.Error())
-			requirements.ExcludedDatabases = append(requirements.ExcludedDatabases, reservation.Database.ID)
+			s.excludeAttempt(req, &requirements, att)
 		}
 		if !s.mayRetry(req) {
 			return s.logFailure(req, reservation, notExecuted(failure), statement.TransactionStateIdle)
@@ -108,7 +108,7 @@
 	reply, err := s.sendStatement(req, att, nil, timeout)
 	s.reportOutcome(att, isWrite, reply, err)
 	s.endAttempt(att)
-	if failure := notSent(err); failure != nil {
+	if failure := s.notSent(req, err); failure != nil {
 		return conclusion{retry: true, reason: failure}
 	}
 	if reply == nil {
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -12,10 +12,6 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
-// rollbackTimeout bounds the rollback of a transaction whose connection returns to
-// the pool afterwards.
-const rollbackTimeout = time.Second
-
 // transaction is a transaction that a caller has begun and not ended.
 type transaction struct {
 	readOnly bool
@@ -106,7 +102,7 @@
 			t.sentWrite = isWrite
 			reply, err := s.sendStatement(req, att, &begin, req.remaining())
 			s.reportOutcome(att, isWrite, reply, err)
-			if failure = notSent(err); failure == nil {
+			if failure = s.notSent(req, err); failure == nil {
 				if reply == nil || reply.Failure == nil || !reply.Failure.Code.GuaranteesNotExecuted() {
 					return s.concludeInTransaction(req, reply, err, true)
 				}
@@ -115,7 +111,7 @@
 			s.rollBackAttempt(att)
 			t.attempt = nil
 			s.logRetry(req, att.reservation, failure.Error())
-			requirements.ExcludedDatabases = append(requirements.ExcludedDatabases, att.reservation.Database.ID)
+			s.excludeAttempt(req, &requirements, att)
 		}
 		if !s.mayRetry(req) {
 			return s.concludeNotSent(req, notExecuted(failure))
@@ -133,7 +129,7 @@
 func (s *session) concludeInTransaction(req *pendingRequest, reply *backend.Reply, err error, isFirst bool) statement.Answer {
 	t := s.transaction
 	_, isCommit := req.Statement.(statement.Commit)
-	if failure := notSent(err); failure != nil {
+	if failure := s.notSent(req, err); failure != nil {
 		return s.concludeNotSent(req, failure)
 	}
 	if reply == nil {
@@ -283,17 +279,14 @@
 // connection. The rollback runs in the background, so that the caller does not wait
 // for it.
 func (s *session) rollBackAttempt(att *attempt) {
-	if !att.conn.NeedsRollback() {
+	conn, isOwn := att.conn.(*backend.Conn)
+	if !isOwn || !conn.NeedsRollback() {
 		s.endAttempt(att)
 		return
 	}
 	s.server.spawn(func() {
-		reply, err := att.conn.Run(s.server.requestCtx, rollbackTimeout, statement.Request{Statement: statement.Rollback{}})
-		if err != nil || reply.Failure != nil {
-			s.closeAttempt(att)
-			return
-		}
-		s.endAttempt(att)
+		s.server.options.Pool.RollBack(s.server.requestCtx, conn)
+		s.server.options.Scheduler.Release(att.reservation)
 	})
 }
 
--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -86,14 +86,15 @@
 }
 
 // IsPartitioned implements session.PrimaryConfirmer. It reports whether this
-// instance can't confirm the primary, or does not reach it while a peer does.
+// instance can't confirm the primary, or does not reach it while a peer does that
+// does not serve as a relay either.
 func (f *Fleet) IsPartitioned(name model.GroupID) bool {
 	now := clock.Now()
 	if !f.Leases.IsConfirmed(now) && !f.surveys.isRecent(now, name) {
 		return clock.Since(f.Leases.View().ReadStartedAt) > lease.Duration+partitionedAfter
 	}
 	failureDuration := f.Scheduler.FailureDuration(name)
-	if failureDuration < partitionedAfter {
+	if failureDuration < partitionedAfter || f.isReachedThroughRelays(name) {
 		return false
 	}
 	// known is the time from which on a peer has queried the primary as well.
@@ -132,16 +133,21 @@
 // probeAfter, so that a failure is detected without requests of callers.
 func (f *Fleet) probePrimaries(ctx context.Context) {
 	for _, d := range f.Scheduler.PrimariesToProbe(probeAfter, f.isObserver) {
-		if _, running := f.probing.LoadOrStore(d.ID, true); running {
-			continue
-		}
-		f.running.Add(1)
-		go func() {
-			defer f.running.Done()
-			defer f.probing.Delete(d.ID)
-			f.probe(ctx, d)
-		}()
+		f.startProbe(ctx, d)
+	}
+}
+
+// startProbe probes a primary in the background, unless it is being probed already.
+func (f *Fleet) startProbe(ctx context.Context, d placement.Database) {
+	if _, running := f.probing.LoadOrStore(d.ID, true); running {
+		return
 	}
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		defer f.probing.Delete(d.ID)
+		f.probe(ctx, d)
+	}()
 }
 
 // observedGroups caches, for a version of the members, whether this instance is an
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -28,6 +28,7 @@
 //	coordinator_failover.go  the steps of a failover
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
+//	relays.go                the primaries that are reached through other instances
 //
 // # Usage
 //
@@ -103,7 +104,11 @@
 	// to be the newest for which a name without a route is refused without a
 	// read of the store.
 	MaxConfigurationAge time.Duration
-	Log                 *eventlog.Writer
+	// RelayPort is the port of the relay address of all instances; zero means that
+	// statements are not relayed. RelayKey is the key that the instances share.
+	RelayPort uint16
+	RelayKey  []byte
+	Log       *eventlog.Writer
 }
 
 // Fleet is the state of the fleet as one instance observes it. New creates one.
@@ -125,6 +130,7 @@
 	probing      sync.Map
 	observed     observedGroups
 	coordination coordination
+	relays       relays
 	leaving      atomic.Bool
 	// storeReachable is set if the store has answered the last call about the table of
 	// groups.
@@ -149,7 +155,7 @@
 func New(options Options) *Fleet {
 	leases := lease.NewTable()
 	lifetime, cancel := context.WithCancel(context.Background())
-	return &Fleet{
+	f := &Fleet{
 		options:      options,
 		lifetime:     lifetime,
 		readTimeouts: readTimeouts{timeouts: map[string]time.Duration{}},
@@ -166,8 +172,11 @@
 			pending:   map[time.Duration]chan message.PrimarySurveyResponse{},
 		},
 		coordination: coordination{active: map[model.GroupID]chan struct{}{}},
+		relays:       newRelays(options),
 		samples:      map[model.GroupID]*fresh.PositionSamples{},
 	}
+	f.Scheduler.SetRelayPolicy(f)
+	return f
 }
 
 // Sessions are the sessions of callers.
@@ -214,9 +223,11 @@
 			run(ctx)
 		}()
 	}
+	relaysEnded := f.relays.client.Start(ctx)
 	ended := make(chan error, 1)
 	go func() {
 		f.running.Wait()
+		<-relaysEnded
 		ended <- nil
 	}()
 	return ended
@@ -257,6 +268,7 @@
 			return
 		case <-ticker.C:
 			f.probePrimaries(ctx)
+			f.updateRelays(ctx)
 			f.surveyUnconfirmed()
 			if f.hasNewFailure(failing) {
 				f.broadcast()
