--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -227,8 +227,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		f.running.Wait()
-		<-relaysEnded
-		ended <- nil
+		ended <- <-relaysEnded
 	}()
 	return ended
 }
--- a/internal/report/story/story.go
+++ b/internal/report/story/story.go
@@ -40,6 +40,7 @@
 	"leases-revoked": true, "promotion-called": true, "primary-stepped-down": true,
 	"dependency-lost": true, "dependency-back": true, "readiness-changed": true,
 	"configuration-adopted": true, "database-known": true, "database-gone": true, "signal-caught": true,
+	"relaying-changed": true, "relay-lost": true,
 }
 
 // commonFields lists the fields that every line has. They are not printed as
