Hold the limits of tenants over all instances

A tenant could ask any number of operations of the databases: its rate and burst were read by nobody, and instances did not know of each other's operations.

The heads of each availability zone keep fixed parts of all limits. Instances draw tokens from those of their zone, and heads without tokens from those of the other zones, by two new messages; an operation takes one token and is refused at once while there is none, with a time to return. The tolerance comes from the settings. Without limits no message is sent.

Tests of the touched packages pass with -race, with a keeper cut off, a zone cut off with tokens outstanding, demand at one instance, and limits taken away and given back.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -47,7 +47,9 @@
 	holdShare  = 0.8
 	burstShare = 0.5
 	startShare = 0.45
-	// maxHoldTime bounds HoldTime if the deployment tolerates much.
+	// minHoldTime and maxHoldTime bound HoldTime: a token has to reach its instance, also
+	// if the deployment tolerates nothing.
+	minHoldTime = 50 * time.Millisecond
 	maxHoldTime = 500 * time.Millisecond
 )
 
@@ -66,9 +68,21 @@
 	Rate, Burst float64
 }
 
+// Refusal is the reason why an operation was refused under the limit of its tenant.
+type Refusal struct {
+	Limit Limit
+	// RetryAfter is the time until the instance next draws tokens of the tenant.
+	RetryAfter time.Duration
+	// Keepers is the number of keepers in reach, and GrantAge the time since one of them
+	// last gave tokens of the tenant; negative if none did.
+	Keepers  int
+	GrantAge time.Duration
+	Reason   string
+}
+
 // HoldTime returns how long a token may be held after the instance has asked for it.
 func (s Settings) HoldTime() time.Duration {
-	return min(maxHoldTime, time.Duration(holdShare*s.Overage*float64(s.Window)))
+	return min(max(minHoldTime, time.Duration(holdShare*s.Overage*float64(s.Window))), maxHoldTime)
 }
 
 // Bound returns the number of operations of a tenant that is tolerated in a window.
@@ -126,6 +140,9 @@
 	return limit, found
 }
 
+// HasLimits reports whether any tenant has a limit.
+func (k *Keeper) HasLimits() bool { return len(k.limits) > 0 }
+
 // Parts returns the number of keepers, or zero while this instance is none of them.
 func (k *Keeper) Parts() int { return k.parts }
 
@@ -147,9 +164,10 @@
 // rate returns the rate at which the bucket of a tenant is refilled.
 func (k *Keeper) rate(tenant model.TenantID) float64 { return k.limits[tenant].Rate / float64(k.parts) }
 
-// capacity returns the most tokens that the bucket of a tenant holds.
+// capacity returns the most tokens that the bucket of a tenant holds: one at least, since
+// a smaller bucket would never give any.
 func (k *Keeper) capacity(tenant model.TenantID) float64 {
-	return (k.limits[tenant].Burst + burstShare*k.settings.Slack) / float64(k.parts)
+	return max(1, (k.limits[tenant].Burst+burstShare*k.settings.Slack)/float64(k.parts))
 }
 
 // refill adds the tokens of the time since the bucket's last change.
--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -58,6 +58,8 @@
 	{"survey-wanted", 13, false, decode[message.PrimarySurveyRequest], message.PrimarySurveyRequest{}},
 	{"survey-told", 14, false, decode[message.PrimarySurveyResponse], message.PrimarySurveyResponse{}},
 	{"databases-wanted", 10, false, decode[message.DatabasesRequest], message.DatabasesRequest{}},
+	{"tokens-wanted", 20, true, decode[message.TokenRequest], message.TokenRequest{}},
+	{"tokens", 21, true, decode[message.TokenGrant], message.TokenGrant{}},
 }
 
 var (
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -26,6 +26,7 @@
 	cmpopts.EquateEmpty(),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 	cmpopts.IgnoreUnexported(message.GossipState{}, message.GroupGossip{}, lease.GroupRow{}, lease.CoordinatorLease{}),
+	cmpopts.IgnoreUnexported(message.TokenRequest{}, message.TokenGrant{}),
 }
 
 // samples contains one message of each type.
@@ -66,6 +67,8 @@
 	message.GossipStateRequest{SenderClock: 9 * time.Second},
 	message.PrimarySurveyRequest{Group: "ratings", SenderClock: 9 * time.Second},
 	message.PrimarySurveyResponse{Group: "ratings", SenderClock: 9 * time.Second, Primary: "ratings-a", Confirmed: true},
+	message.TokenRequest{Tenant: "club", Sequence: 300, Want: 3, Relay: true},
+	message.TokenGrant{Sequence: 300, Tokens: 2, Next: 40 * time.Millisecond},
 }
 
 func TestBytesOfEachMessage(t *testing.T) {
@@ -170,6 +173,18 @@
 				Groups:           rapid.SliceOf(groupGossip).Draw(t, "groups"),
 			}
 		})),
+		asMessage(rapid.Custom(func(t *rapid.T) message.TokenRequest {
+			return message.TokenRequest{
+				Tenant: model.TenantID(rapid.String().Draw(t, "tenant")), Sequence: rapid.Uint64().Draw(t, "sequence"),
+				Want: rapid.Int().Draw(t, "want"), Relay: rapid.Bool().Draw(t, "relay"),
+			}
+		})),
+		asMessage(rapid.Custom(func(t *rapid.T) message.TokenGrant {
+			return message.TokenGrant{
+				Sequence: rapid.Uint64().Draw(t, "sequence"), Tokens: rapid.Int().Draw(t, "tokens"),
+				Next: time.Duration(rapid.Int64().Draw(t, "next")),
+			}
+		})),
 		asMessage(rapid.Custom(func(t *rapid.T) message.Heartbeat {
 			known := rapid.SliceOf(rapid.Custom(func(t *rapid.T) message.KnownPeer {
 				return message.KnownPeer{Instance: model.InstanceID(rapid.String().Draw(t, "id")), PeerAddress: address.Draw(t, "peer")}
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/quota"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
@@ -72,6 +73,13 @@
 	ReportSuspectedPrimary(group model.GroupID)
 }
 
+// Limiter decides whether operations are within the limits of their tenants.
+type Limiter interface {
+	// AdmitOperation counts one operation of a tenant and reports whether it is within
+	// the limit. It may wait for a short time, until ctx ends at most.
+	AdmitOperation(ctx context.Context, tenant model.TenantID) (quota.Refusal, bool)
+}
+
 // SampleSource provides the position samples of each group.
 type SampleSource interface {
 	SamplesOf(group model.GroupID) *fresh.PositionSamples
@@ -86,6 +94,7 @@
 	KeyDigest        func(key string) route.KeyDigest
 	PrimaryConfirmer PrimaryConfirmer
 	Samples          SampleSource
+	Limiter          Limiter
 	Scheduler        *placement.Scheduler
 	Pool             *backend.Pool
 	Log              *eventlog.Writer
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -29,6 +29,7 @@
 //	single.go       statements outside transactions
 //	transaction.go  transactions
 //	attempt.go      one attempt to run a statement at a database
+//	limit.go        the limits of tenants
 //
 // # Usage
 //
@@ -42,6 +43,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
@@ -142,6 +144,9 @@
 		return statement.Answer{Failure: noRoute(s.routeName), TransactionState: statement.TransactionStateIdle}
 	}
 	req := &pendingRequest{Request: request, arrivedAt: arrivedAt, route: admission.Route, tenant: admission.Tenant}
+	if failure := s.refuseAboveLimit(req); failure != nil {
+		return s.logFailure(req, placement.Reservation{}, failure, statement.TransactionStateIdle)
+	}
 	switch stmt := request.Statement.(type) {
 	case statement.Begin:
 		s.transaction = &transaction{readOnly: stmt.ReadOnly, beganAt: arrivedAt, route: admission.Route, tenant: admission.Tenant}
--- a/internal/node/fleet/directory_configuration.go
+++ b/internal/node/fleet/directory_configuration.go
@@ -47,6 +47,7 @@
 	}
 	d.mu.Unlock()
 	if isNewer {
+		f.applyLimits()
 		f.sessions.CloseRevokedSessions()
 		f.broadcast()
 		f.logEvent(event.ConfigurationAdopted,
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -28,6 +28,9 @@
 //	coordinator_failover.go  the steps of a failover
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
+//	limits.go                the limits of tenants: admission of operations
+//	limits_keeper.go         the heads, which keep the parts of the limits
+//	limits_draw.go           the tokens that instances draw from heads
 //
 // # Usage
 //
@@ -49,6 +52,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/quota"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
@@ -103,7 +107,9 @@
 	// to be the newest for which a name without a route is refused without a
 	// read of the store.
 	MaxConfigurationAge time.Duration
-	Log                 *eventlog.Writer
+	// Tolerance is the tolerance of the limits of tenants.
+	Tolerance quota.Settings
+	Log       *eventlog.Writer
 }
 
 // Fleet is the state of the fleet as one instance observes it. New creates one.
@@ -121,6 +127,7 @@
 	surveys      surveys
 	groupGossip  groupGossip
 	readTimeouts readTimeouts
+	limits       *limits
 	// probing holds the primaries that are being probed.
 	probing      sync.Map
 	observed     observedGroups
@@ -158,6 +165,7 @@
 		Scheduler:    placement.NewScheduler(options.Zone, leases),
 		Pool:         backend.NewPool(options.Protocol),
 		directory:    newDirectory(),
+		limits:       newLimits(options.Tolerance),
 		renewal:      renewal{requested: make(chan struct{}, 1)},
 		peers:        newPeers(),
 		surveys: surveys{
@@ -234,6 +242,7 @@
 		case <-ticker.C:
 			f.peers.prune(clock.Now())
 			f.updateLinks()
+			f.updateKeepers(clock.Now())
 			f.publishIfResized()
 			f.expireDatabases()
 			f.createMissingRows(ctx)
--- a/internal/node/fleet/peers_gossip.go
+++ b/internal/node/fleet/peers_gossip.go
@@ -276,6 +276,10 @@
 		}
 	case message.DatabasesOffer:
 		f.applyDatabasesOffer(body, string(from))
+	case message.TokenRequest:
+		f.answerTokenRequest(from, body)
+	case message.TokenGrant:
+		f.limits.handleGrant(body)
 	}
 }
 
--- a/internal/node/fleet/world_test.go
+++ b/internal/node/fleet/world_test.go
@@ -15,6 +15,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/quota"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
@@ -232,8 +233,9 @@
 	return s.version, nil
 }
 
-// testSchema decodes a configuration that consists of a version only, and
-// entries that consist of a group only. The entry oddEntry can't be decoded.
+// testSchema decodes a configuration that consists of a version and, if the tenant
+// "club" has a limit, its rate and burst, and entries that consist of a group only. The
+// entry oddEntry can't be decoded.
 type testSchema struct{}
 
 const oddEntry = "odd"
@@ -246,7 +248,12 @@
 	if _, err := fmt.Sscan(string(body), &version); err != nil {
 		return route.Configuration{}, err
 	}
-	return route.Configuration{Version: version, Groups: map[model.GroupID]route.Group{"ratings": {MaxConnections: 20}}}, nil
+	tenants := map[model.TenantID]route.Tenant{}
+	var limited route.Tenant
+	if _, err := fmt.Sscan(string(body), &version, &limited.Rate, &limited.Burst); err == nil {
+		tenants["club"] = limited
+	}
+	return route.Configuration{Version: version, Tenants: tenants, Groups: map[model.GroupID]route.Group{"ratings": {MaxConnections: 20}}}, nil
 }
 
 func (testSchema) RedactConfiguration(body []byte) ([]byte, error) { return body, nil }
@@ -339,6 +346,12 @@
 // newTestFleets starts fleets named i1 and so on, with one group of a database
 // that can't be reached. It waits until each has the first configuration.
 func newTestFleets(t *testing.T, instances int) *testFleets {
+	t.Helper()
+	return newTestFleetsIn(t, slices.Repeat([]model.ZoneID{"lanier"}, instances))
+}
+
+// newTestFleetsIn is like newTestFleets with the availability zone of each instance.
+func newTestFleetsIn(t *testing.T, zones []model.ZoneID) *testFleets {
 	t.Helper()
 	tf := &testFleets{
 		store: newMemoryStore(),
@@ -350,15 +363,16 @@
 	tf.store.put("databases", "a", "ratings")
 	ctx, cancel := context.WithCancel(context.Background())
 	var ends []<-chan error
-	for i := range instances {
+	for i, zone := range zones {
 		name := model.InstanceID(fmt.Sprintf("i%d", i+1))
 		reached := &instanceStore{memoryStore: tf.store}
 		tf.stores = append(tf.stores, reached)
 		f := New(Options{
-			StartID: name, InstanceName: name, Zone: "lanier", ExpectedInstances: instances, Store: reached,
+			StartID: name, InstanceName: name, Zone: zone, ExpectedInstances: len(zones), Store: reached,
 			PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)),
 			Schema:      testSchema{}, MaxConfigurationAge: time.Second,
-			Log: eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
+			Tolerance: quota.Settings{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+			Log:       eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
 		})
 		f.Attach(hubLinks{hub: tf.hub, self: name}, idleSessions{})
 		tf.hub.mu.Lock()
--- a/internal/report/event/event.go
+++ b/internal/report/event/event.go
@@ -88,4 +88,5 @@
 	sessionEvents,
 	fleetEvents,
 	coordinatorEvents,
+	limitEvents,
 }
--- a/internal/report/event/event_test.go
+++ b/internal/report/event/event_test.go
@@ -6,8 +6,8 @@
 )
 
 // areaNumbers holds the first number of the area of each table in areas. The last
-// five are second tables of the areas 600, 900, 100, 700 and 400.
-var areaNumbers = []int{100, 200, 300, 400, 500, 600, 700, 800, 900, 600, 900, 100, 700, 400}
+// six are second tables of the areas 600, 900, 100, 700, 400 and 500.
+var areaNumbers = []int{100, 200, 300, 400, 500, 600, 700, 800, 900, 600, 900, 100, 700, 400, 500}
 
 const areaSize = 100
 
--- a/internal/report/story/story.go
+++ b/internal/report/story/story.go
@@ -39,7 +39,7 @@
 	"group-row-seen": true, "change-begun": true, "change-ended": true, "change-failed": true,
 	"leases-revoked": true, "promotion-called": true, "primary-stepped-down": true,
 	"dependency-lost": true, "dependency-back": true, "readiness-changed": true,
-	"configuration-adopted": true, "database-known": true, "database-gone": true, "signal-caught": true,
+	"configuration-adopted": true, "limit-keeper-changed": true, "database-known": true, "database-gone": true, "signal-caught": true,
 }
 
 // commonFields lists the fields that every line has. They are not printed as
