--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -29,6 +29,9 @@
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
 //	relays.go                the primaries that are reached through other instances
+//	limits.go                the limits of tenants: admission of operations
+//	limits_keeper.go         the heads, which keep the parts of the limits
+//	limits_draw.go           the tokens that instances draw from heads
 //
 // # Usage
 //
@@ -50,6 +53,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/quota"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
@@ -108,6 +112,8 @@
 	// statements are not relayed. RelayKey is the key that the instances share.
 	RelayPort uint16
 	RelayKey  []byte
+	// Tolerance is the tolerance of the limits of tenants.
+	Tolerance quota.Settings
 	Log       *eventlog.Writer
 }
 
@@ -126,6 +132,7 @@
 	surveys      surveys
 	groupGossip  groupGossip
 	readTimeouts readTimeouts
+	limits       *limits
 	// probing holds the primaries that are being probed.
 	probing      sync.Map
 	observed     observedGroups
@@ -164,6 +171,7 @@
 		Scheduler:    placement.NewScheduler(options.Zone, leases),
 		Pool:         backend.NewPool(options.Protocol),
 		directory:    newDirectory(),
+		limits:       newLimits(options.Tolerance),
 		renewal:      renewal{requested: make(chan struct{}, 1)},
 		peers:        newPeers(),
 		surveys: surveys{
@@ -244,6 +252,7 @@
 		case <-ticker.C:
 			f.peers.prune(clock.Now())
 			f.updateLinks()
+			f.updateKeepers(clock.Now())
 			f.publishIfResized()
 			f.expireDatabases()
 			f.createMissingRows(ctx)
--- a/internal/report/event/event.go
+++ b/internal/report/event/event.go
@@ -89,4 +89,5 @@
 	fleetEvents,
 	coordinatorEvents,
 	relayEvents,
+	limitEvents,
 }
