Let idle connections of other tenants give way

With tenants a connection serves one tenant only, and an instance that had used up its share of a database's connections refused or delayed statements of other tenants while connections lay idle. The idle connections of all tenants now count together against the share; the one that its tenant needs least gives way before another is opened. Reads prefer, among equally good databases, one to which the tenant has an idle connection.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -82,7 +82,7 @@
 		if !isPrimary && (!hasSample || !db.hasProbablyReached(now, minPosition, minPositionAsOf)) {
 			continue
 		}
-		cost := s.cost(now, db, isPrimary)
+		cost := s.cost(now, db, isPrimary, requirements.Tenant)
 		if best == nil || cost < lowestCost {
 			best, lowestCost = db, cost
 		}
@@ -97,7 +97,7 @@
 }
 
 // cost returns the cost of a read at a database; the lowest is preferred.
-func (s *Scheduler) cost(now time.Time, db *databaseState, isPrimary bool) time.Duration {
+func (s *Scheduler) cost(now time.Time, db *databaseState, isPrimary bool, tenant model.TenantID) time.Duration {
 	latency := db.expectedLatency(now)
 	if !isPrimary && db.isExplored() {
 		latency = 0
@@ -109,7 +109,7 @@
 	case isPrimary:
 		cost *= primaryCostFactor
 	}
-	if db.HasScarceConnections && !db.KeepsConnection {
+	if s.needsConnecting(db, tenant) {
 		cost += connectCost
 	}
 	if db.Zone != s.zone {
@@ -118,6 +118,14 @@
 	return cost
 }
 
+// needsConnecting reports whether a connection would probably have to be opened.
+func (s *Scheduler) needsConnecting(db *databaseState, tenant model.TenantID) bool {
+	if db.HasTenants && s.connections != nil {
+		return !s.connections.HasIdle(db.ID, tenant)
+	}
+	return db.HasScarceConnections && !db.KeepsConnection
+}
+
 // hasCapacity reports whether another statement of a rank may be sent to the database
 // on an additional connection.
 func (s *Scheduler) hasCapacity(now time.Time, g *group, db *databaseState, rank model.Rank) bool {
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -17,6 +17,8 @@
 	// zone, which may be lower.
 	Instances int
 	Zones     map[model.ZoneID]int
+	// HasTenants is true if the configuration names tenants.
+	HasTenants bool
 }
 
 // markKept sets HasScarceConnections and KeepsConnection of databases.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -56,6 +56,10 @@
 	// KeepsConnection is true if this instance keeps a connection all the same; see
 	// markKept.
 	KeepsConnection bool
+	// HasTenants is true if a connection serves one tenant only. ConnectionShare is how
+	// many connections this instance may then have open, idle ones included.
+	HasTenants      bool
+	ConnectionShare int
 	// Leaving is true if the database is draining: it gets no new statements, unless it
 	// is the primary and has not been replaced yet.
 	Leaving bool
@@ -132,6 +136,15 @@
 	instances int
 	// durations is what the steps of an outage take here, for all groups.
 	durations *outage.Durations
+	// connections tells which connections are idle; nil if that is not known.
+	connections Connections
+}
+
+// Connections is the pool of this instance.
+type Connections interface {
+	// HasIdle reports whether a tenant has an idle connection to a database. It is
+	// called while the scheduler's mutex is held and must not call the scheduler.
+	HasIdle(database model.DatabaseID, tenant model.TenantID) bool
 }
 
 // group holds the databases of a group and the queue of waiters for them.
@@ -140,6 +153,8 @@
 	databases []*databaseState
 	waiting   []*waiter
 	demand    demand
+	// usage is what the tenants have had; nil if there are none.
+	usage usage
 	// outage follows the group's primary.
 	outage outage.Tracker
 	// passedOver is the most urgent rank with a waiter that got no reservation in the
@@ -157,6 +172,8 @@
 	// after which a reservation is expected; zero if unknown.
 	late         bool
 	expectedWait time.Duration
+	// hadByTenant is what the tenant will have had when this waiter is next.
+	hadByTenant float64
 	// decided receives the decision; its buffer holds one, so that the sender never
 	// blocks.
 	decided chan decision
@@ -197,6 +214,13 @@
 	}
 }
 
+// SetConnections sets the pool whose idle connections are preferred.
+func (s *Scheduler) SetConnections(connections Connections) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections = connections
+}
+
 // SetDatabases replaces the known databases and the instances that share them. The
 // observed state of a database is kept unless its incarnation has changed.
 func (s *Scheduler) SetDatabases(databases []Database, population Population) {
@@ -216,9 +240,11 @@
 			db = &databaseState{}
 		}
 		db.Database = d
+		db.HasTenants, db.ConnectionShare = population.HasTenants, s.connectionShare(db)
 		db.limit.resize(d.Slots, s.instances)
 		s.byID[d.ID] = db
 		g := s.group(d.Group)
+		g.setTenants(population.HasTenants)
 		g.databases = append(g.databases, db)
 	}
 	for name, g := range s.groups {
@@ -230,6 +256,18 @@
 	}
 }
 
+// setTenants starts or ends the count of what the tenants have had.
+func (g *group) setTenants(hasTenants bool) {
+	switch {
+	case !hasTenants:
+		g.usage = nil
+	case g.usage == nil:
+		g.usage = usage{}
+	default:
+		g.usage.forget(clock.Now())
+	}
+}
+
 func (s *Scheduler) group(name model.GroupID) *group {
 	g, found := s.groups[name]
 	if !found {
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -157,6 +157,9 @@
 	if hasGrant {
 		estimator.primary = s.byID[grant.Primary]
 	}
+	if g.usage != nil {
+		g.usage.orderFairly(now, g.waiting)
+	}
 	stillWaiting := g.waiting[:0]
 	g.passedOver = noRank
 	for _, w := range g.waiting {
@@ -167,6 +170,9 @@
 			db.recordSent(now)
 			db.pace(w.requirements.Rank).record(now)
 			db.recordReserved(g.demand, w.requirements.Rank)
+			if g.usage != nil {
+				g.usage.record(now, w.requirements.Tenant)
+			}
 			w.decided <- decision{reservation: reservation}
 			continue
 		}
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -91,11 +91,13 @@
 
 	mu   sync.Mutex
 	idle map[model.DatabaseID][]*Conn
+	// open counts the connections to each database that are open, in use or idle.
+	open map[model.DatabaseID]int
 }
 
 // NewPool returns a pool without connections.
 func NewPool(protocol Protocol) *Pool {
-	return &Pool{protocol: protocol, idle: map[model.DatabaseID][]*Conn{}}
+	return &Pool{protocol: protocol, idle: map[model.DatabaseID][]*Conn{}, open: map[model.DatabaseID]int{}}
 }
 
 // Get returns an idle connection of the given tenant, preferably one with the given
@@ -151,8 +153,11 @@
 func (p *Pool) connect(ctx context.Context, target placement.Database, tenant model.TenantID) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
+	p.startOpening(target)
+	closed := sync.OnceFunc(func() { p.endOpen(target.ID) })
 	dialed, err := socket.Dial(ctx, "tcp", target.Address.String())
 	if err != nil {
+		closed()
 		return nil, &ConnectError{Database: target.ID, Cause: err}
 	}
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
@@ -165,10 +170,11 @@
 	}
 	if err != nil {
 		_ = dialed.Close()
+		closed()
 		return nil, &ConnectError{Database: target.ID, Cause: err}
 	}
 	connectionsOpened.Add(string(target.Group), 1)
-	return &Conn{target: target, tenant: tenant, net: dialed, codec: codec, prepared: map[string]string{}}, nil
+	return &Conn{target: target, tenant: tenant, net: dialed, codec: codec, prepared: map[string]string{}, onClose: closed}, nil
 }
 
 // Put returns a connection to the pool. It closes a connection that is inside a
@@ -178,6 +184,10 @@
 		conn.Close()
 		return
 	}
+	if conn.target.HasTenants {
+		p.putOfTenant(conn)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.lastUsedAt = clock.Now()
@@ -196,7 +206,7 @@
 	idle := p.idle[conn.target.ID]
 	if i := slices.Index(idle, conn); i >= 0 && conn.lastUsedAt.Equal(usedAt) {
 		p.idle[conn.target.ID] = slices.Delete(idle, i, i+1)
-		conn.Close()
+		go conn.Close()
 	}
 }
 
@@ -210,7 +220,7 @@
 	delete(p.idle, id)
 }
 
-// EvictStale closes connections that were not used for idleTimeout, and those of
+// EvictStale closes connections that were not used for their idleTimeout, and those of
 // databases for which keep returns false.
 func (p *Pool) EvictStale(keep func(model.DatabaseID) bool) {
 	p.mu.Lock()
@@ -219,7 +229,7 @@
 	for id, idle := range p.idle {
 		remaining := idle[:0]
 		for _, conn := range idle {
-			if !keep(id) || now.Sub(conn.lastUsedAt) > idleTimeout {
+			if !keep(id) || now.Sub(conn.lastUsedAt) > conn.idleTimeout() {
 				go conn.Close()
 				continue
 			}
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -42,6 +42,8 @@
 	// connection may differ from those recorded here, or an answer was not read.
 	isStateUnknown bool
 	lastUsedAt     time.Time
+	// onClose is called when the connection is closed; only its first call counts.
+	onClose func()
 }
 
 // Target returns the database at the other end.
@@ -233,7 +235,12 @@
 
 // Close closes the connection at once. The database then rolls back an open
 // transaction.
-func (c *Conn) Close() { _ = c.net.Close() }
+func (c *Conn) Close() {
+	_ = c.net.Close()
+	if c.onClose != nil {
+		c.onClose()
+	}
+}
 
 // isOpen reports whether the connection is still usable, as far as this end knows.
 // An open idle connection has nothing to read, so that data or end of file in the
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -185,6 +185,7 @@
 	d.publishedInstances, d.publishedMembers = f.instanceCount(), f.membersVersion()
 	f.Scheduler.SetDatabases(databases, placement.Population{
 		Self: f.options.InstanceName, Instances: d.publishedInstances, Zones: f.membersByZone(),
+		HasTenants: d.configuration.RequiresKey,
 	})
 }
 
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -148,6 +148,9 @@
 // New returns a Fleet that has not been started and has no state yet.
 func New(options Options) *Fleet {
 	leases := lease.NewTable()
+	pool := backend.NewPool(options.Protocol)
+	scheduler := placement.NewScheduler(options.Zone, leases)
+	scheduler.SetConnections(pool)
 	lifetime, cancel := context.WithCancel(context.Background())
 	return &Fleet{
 		options:      options,
@@ -155,8 +158,8 @@
 		readTimeouts: readTimeouts{timeouts: map[string]time.Duration{}},
 		cancel:       cancel,
 		Leases:       leases,
-		Scheduler:    placement.NewScheduler(options.Zone, leases),
-		Pool:         backend.NewPool(options.Protocol),
+		Scheduler:    scheduler,
+		Pool:         pool,
 		directory:    newDirectory(),
 		renewal:      renewal{requested: make(chan struct{}, 1)},
 		peers:        newPeers(),
