Let builds with and without the newest field of gossip be linked

A hello names the level of messages that its sender reads, which earlier builds skip. A peer of level 0 gets the former fields; a GossipState of any length is decoded.

--- a/internal/edge/peer/bench_test.go
+++ b/internal/edge/peer/bench_test.go
@@ -25,7 +25,7 @@
 	size := 0
 	b.ReportAllocs()
 	for range b.N {
-		body, err := encodeMessage(heartbeat)
+		body, err := encodeMessage(heartbeat, messageLevel)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/edge/peer/codec.go
+++ b/internal/edge/peer/codec.go
@@ -52,7 +52,7 @@
 	{"database-leaving", 5, false, decode[message.DatabaseLeaving], message.DatabaseLeaving{}},
 	{"demand", 6, true, decode[message.LeaseRequest], message.LeaseRequest{}},
 	{"permit", 7, true, decode[message.LeaseGrant], message.LeaseGrant{}},
-	{"bulletin", 8, true, decode[message.GossipState], message.GossipState{}},
+	{"bulletin", 8, true, decodeGossipState, message.GossipState{}},
 	{"databases-offer", 9, false, decode[message.DatabasesOffer], message.DatabasesOffer{}},
 	{"bulletin-wanted", 11, true, decode[message.GossipStateRequest], message.GossipStateRequest{}},
 	{"survey-wanted", 13, false, decode[message.PrimarySurveyRequest], message.PrimarySurveyRequest{}},
@@ -82,16 +82,16 @@
 
 func messageTypeOf(m message.PeerMessage) messageType { return messageTypesByGoType[reflect.TypeOf(m)] }
 
-// encodeMessage returns the number of m followed by its body, compressed if it
-// is larger than compressionThreshold. Its errors are *MessageCodingError and those of
+// encodeMessage returns the number of m followed by its body in the form that a peer of
+// the given level reads, compressed if it is larger than compressionThreshold. Its errors are *MessageCodingError and those of
 // the compression.
-func encodeMessage(m message.PeerMessage) ([]byte, error) {
+func encodeMessage(m message.PeerMessage, peerLevel int) ([]byte, error) {
 	mt := messageTypeOf(m)
 	var out bytes.Buffer
 	out.WriteByte(mt.number)
 	encoder := msgpack.NewEncoder(&out)
 	encoder.UseCompactInts(true)
-	if err := encoder.Encode(m); err != nil {
+	if err := encodeBody(encoder, m, peerLevel); err != nil {
 		return nil, &MessageCodingError{MessageName: mt.name, Cause: errors.WithStack(err)}
 	}
 	if out.Len() <= compressionThreshold {
--- a/internal/edge/peer/codec_test.go
+++ b/internal/edge/peer/codec_test.go
@@ -77,7 +77,7 @@
 	}
 	var got strings.Builder
 	for _, m := range samples {
-		content, err := encodeMessage(m)
+		content, err := encodeMessage(m, messageLevel)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,7 +102,7 @@
 // its decompressed size exceeds a frame, or if it is not a valid message.
 func TestCompressedMessages(t *testing.T) {
 	large := message.ManifestOffer{Number: 4, Body: bytes.Repeat([]byte("route lookups 1500 ms; "), 1000)}
-	content, err := encodeMessage(large)
+	content, err := encodeMessage(large, messageLevel)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,7 +201,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		want := rapid.OneOf(generators...).Draw(t, "message")
-		content, err := encodeMessage(want)
+		content, err := encodeMessage(want, messageLevel)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -224,7 +224,7 @@
 func FuzzReadFrames(f *testing.F) {
 	key := []byte("0123456789abcdef")
 	for _, m := range samples {
-		content, err := encodeMessage(m)
+		content, err := encodeMessage(m, messageLevel)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -252,7 +252,7 @@
 		if err != nil || m == nil {
 			return
 		}
-		reencoded, err := encodeMessage(m)
+		reencoded, err := encodeMessage(m, messageLevel)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -287,7 +287,7 @@
 			size := 0
 			b.ReportAllocs()
 			for b.Loop() {
-				content, _ := encodeMessage(m)
+				content, _ := encodeMessage(m, messageLevel)
 				frame, _ := frameSealer.seal(content)
 				size = lengthSize + len(frame)
 				opened, _ := frameOpener.open(frame)
--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -259,7 +259,7 @@
 func (s *manualPeer) awaitClosed() { _, _ = io.Copy(io.Discard, s.conn) }
 
 func TestFaultsOfADialer(t *testing.T) {
-	heartbeat, err := encodeMessage(samples[0])
+	heartbeat, err := encodeMessage(samples[0], messageLevel)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/peer/handshake.go
+++ b/internal/edge/peer/handshake.go
@@ -30,6 +30,9 @@
 const (
 	// protocolVersion is the version of the protocol of the links.
 	protocolVersion uint16 = 1
+	// messageLevel is the level of the messages that this build reads; see
+	// shortMessages. Builds that name none are at level 0.
+	messageLevel = 1
 	// versionSize is the size of the version at the start of a hello, in bytes.
 	versionSize = 2
 	// nonceSize is the size of a hello's nonce, in bytes.
@@ -52,6 +55,8 @@
 type hello struct {
 	Instance model.InstanceID `msgpack:"id"`
 	Nonce    []byte           `msgpack:"nonce"`
+	// Level is the messageLevel of the sender. Builds that don't know it skip it.
+	Level int `msgpack:"lvl"`
 }
 
 // role distinguishes the two ends of a link. It is part of each proof, so that an
@@ -72,8 +77,10 @@
 
 // session is the result of a handshake.
 type session struct {
-	peer   model.InstanceID
-	sealer sealer
+	peer model.InstanceID
+	// peerLevel is the messageLevel of the peer.
+	peerLevel int
+	sealer    sealer
 	opener opener
 }
 
@@ -108,7 +115,7 @@
 		return session{}, err
 	}
 	return session{
-		peer:   peerHello.Instance,
+		peer: peerHello.Instance, peerLevel: peerHello.Level,
 		sealer: sealer{key: hmacSHA256(secret, []byte("frames "+ownRole), transcript), limit: protocol.MaxFrame},
 		opener: opener{key: hmacSHA256(secret, []byte("frames "+ownRole.opposite()), transcript)},
 	}, nil
@@ -141,7 +148,7 @@
 	nonce := make([]byte, nonceSize)
 	// rand.Read never returns an error.
 	_, _ = rand.Read(nonce)
-	body, err := msgpack.Marshal(hello{Instance: self, Nonce: nonce})
+	body, err := msgpack.Marshal(hello{Instance: self, Nonce: nonce, Level: messageLevel})
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -136,7 +136,7 @@
 		if !found {
 			return errors.WithStack(buffered.Flush())
 		}
-		body, err := encodeMessage(m)
+		body, err := encodeMessage(m, l.session.peerLevel)
 		if err != nil || sequenceSize+len(body)+macSize > maxFrame {
 			counters.Add("dropped.size", 1)
 			continue
