--- a/internal/edge/peer/handshake.go
+++ b/internal/edge/peer/handshake.go
@@ -81,7 +81,7 @@
 	// peerLevel is the messageLevel of the peer.
 	peerLevel int
 	sealer    sealer
-	opener opener
+	opener    opener
 }
 
 // handshake exchanges hellos with the other end, then proofs that both hold secret:
