Let one caller give way at a time when memory is short

Each caller that waits for memory closed a further connection whenever anything was given back, although what the first one held was about to be: sessions that were idle within the limits were closed without need. Cause: the decision did not count what holders that have to give way will give back. Now it is waited for, for as long as the patience of a caller. TestOneGivesWayAtATime fails on the code before.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -56,6 +56,8 @@
 	// isProtected is set while the holder must not give way.
 	isProtected bool
 	hasYielded  bool
+	// yieldedAt is the time at which it had to give way.
+	yieldedAt time.Time
 }
 
 // Held returns what the holder has drawn and not given back.
@@ -133,20 +135,35 @@
 	if h.drawsSince.IsZero() {
 		h.drawsSince = now
 	}
+	if released, left := b.releasing(now); left > 0 && b.used-released+amount <= b.limit {
+		return Wait{For: min(left, IdleAfter)}
+	}
 	if idle := b.largestIdle(h, now); idle != nil {
-		return b.yield(idle)
+		return b.yield(idle, now)
 	}
 	if left := Patience - now.Sub(h.drawsSince); left > 0 {
 		return Wait{For: min(left, IdleAfter)}
 	}
-	return b.yield(b.newest())
+	return b.yield(b.newest(), now)
 }
 
-func (b *Budget) yield(h *Holder) Yield {
-	h.hasYielded = true
+func (b *Budget) yield(h *Holder, now time.Time) Yield {
+	h.hasYielded, h.yieldedAt = true, now
 	return Yield{Holder: h}
 }
 
+// releasing returns what the holders that have had to give way will give back, and for how
+// long that can be waited for.
+func (b *Budget) releasing(now time.Time) (amount int64, left time.Duration) {
+	for h := range b.holders {
+		if remaining := Patience - now.Sub(h.yieldedAt); h.hasYielded && remaining > 0 {
+			amount += h.held
+			left = max(left, remaining)
+		}
+	}
+	return amount, left
+}
+
 // largestIdle returns the holder other than h that holds most, of those that wait for their
 // callers or for more; of equal ones that which has waited longest. It returns nil if there
 // is none.
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// While a holder that gives way has not given back yet, no other one gives way for what it
+// will give back; one that keeps it for longer than Patience is not waited for.
+func TestOneGivesWayAtATime(t *testing.T) {
+	c := newCrowd(100)
+	for _, name := range []string{"first", "second", "third"} {
+		c.open(name, 0, 30)
+		c.budget.SetProgress(c.holders[name], c.at(0), true)
+	}
+	c.budget.SetProgress(c.holders["first"], c.at(0), false)
+	c.open("asks", time.Second, 0)
+	c.open("also", time.Second, 0)
+	c.expect(t, "first gives way", c.draw("asks", time.Second, 20))
+	c.budget.SetProgress(c.holders["second"], c.at(0), false)
+	c.expect(t, "waits 1s", c.draw("asks", time.Second, 20))
+	c.expect(t, "waits 1s", c.draw("also", time.Second, 40))
+	c.expect(t, "second gives way", c.draw("also", time.Second, 41))
+	c.budget.SetProgress(c.holders["third"], c.at(0), false)
+	c.expect(t, "waits 500ms", c.draw("asks", 3500*time.Millisecond, 20))
+	c.expect(t, "third gives way", c.draw("asks", time.Second+Patience, 20))
+}
+
 // A session inside a transaction does not give way while it is idle, and of equal holders
 // the one that has been idle for the longest gives way first.
 func TestIdleSessionsGiveWayInOrder(t *testing.T) {
