--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -41,6 +41,8 @@
 type Budget struct {
 	limit, used int64
 	holders     map[*Holder]struct{}
+	// yielding are the holders that have had to give way and were not closed yet.
+	yielding map[*Holder]struct{}
 }
 
 // Holder is one connection's part of a budget.
@@ -82,7 +84,7 @@
 
 // New returns a budget of an amount. An amount of zero or less is no limit.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, holders: map[*Holder]struct{}{}}
+	return &Budget{limit: limit, holders: map[*Holder]struct{}{}, yielding: map[*Holder]struct{}{}}
 }
 
 // Used returns what all holders have drawn together.
@@ -102,6 +104,7 @@
 func (b *Budget) Close(h *Holder) {
 	b.Return(h, h.held)
 	delete(b.holders, h)
+	delete(b.yielding, h)
 }
 
 // SetProgress records whether a holder makes progress, or waits for its caller. One that is
@@ -149,14 +152,15 @@
 
 func (b *Budget) yield(h *Holder, now time.Time) Yield {
 	h.hasYielded, h.yieldedAt = true, now
+	b.yielding[h] = struct{}{}
 	return Yield{Holder: h}
 }
 
 // releasing returns what the holders that have had to give way will give back, and for how
 // long that can be waited for.
 func (b *Budget) releasing(now time.Time) (amount int64, left time.Duration) {
-	for h := range b.holders {
-		if remaining := Patience - now.Sub(h.yieldedAt); h.hasYielded && remaining > 0 {
+	for h := range b.yielding {
+		if remaining := Patience - now.Sub(h.yieldedAt); remaining > 0 {
 			amount += h.held
 			left = max(left, remaining)
 		}
