Keep a transaction while its large message or answer is on the way

A session inside a transaction that sent or was sent more than 16 KiB counted as idle outside a transaction, so that it was closed for a new connection or another's memory against docs/design/intake.md. Cause: reads and writes overwrote what the session had told. TestTransactionIsKeptDuringMessage fails on the code before, with a message and an answer.

--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -87,6 +87,8 @@
 	// messageBytes counts the bytes read of the present message, and covered is what has
 	// been drawn for it.
 	messageBytes, covered int64
+	// isInTransaction is what AwaitCaller was told last.
+	isInTransaction bool
 	// keepsConnection is set if the connection is not closed for another one.
 	keepsConnection bool
 	// done ends the waits of the account.
@@ -163,7 +165,13 @@
 
 // AwaitCaller records that the connection waits for its caller: to send or to read. Inside a
 // transaction it does not give way.
-func (a *Account) AwaitCaller(isInTransaction bool) { a.setProgress(clock.Now(), isInTransaction) }
+func (a *Account) AwaitCaller(isInTransaction bool) {
+	a.isInTransaction = isInTransaction
+	a.awaitProgress()
+}
+
+// awaitProgress records that the connection waits for its caller from now on.
+func (a *Account) awaitProgress() { a.setProgress(clock.Now(), a.isInTransaction) }
 
 // Proceed records that the connection does not wait for its caller.
 func (a *Account) Proceed() { a.setProgress(time.Time{}, false) }
@@ -265,7 +273,7 @@
 	if a.messageBytes <= freeBytes {
 		return nil
 	}
-	a.AwaitCaller(false)
+	a.awaitProgress()
 	missing := a.limits.messageCost*a.messageBytes - a.covered
 	if missing <= 0 {
 		return nil
@@ -304,7 +312,7 @@
 // Write implements net.Conn.
 func (c Conn) Write(data []byte) (int, error) {
 	if len(data) > freeBytes {
-		c.Account.AwaitCaller(false)
+		c.Account.awaitProgress()
 	}
 	return c.Conn.Write(data)
 }
