Do not count a caller that reads its answer as idle

A caller that went on reading an answer above 16 KiB gave way after a second, although its answer was on the way; and so did a statement that went on working after such a part of its answer. Cause: waiting began with the whole write, and did not end with it. Now each 64 KiB that the caller reads is progress.

--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -309,12 +309,23 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A caller that goes on reading a large answer does not count as
+// idle, and neither does the work after it.
 func (c Conn) Write(data []byte) (int, error) {
-	if len(data) > freeBytes {
+	if len(data) <= freeBytes {
+		return c.Conn.Write(data)
+	}
+	defer c.Account.Proceed()
+	written := 0
+	for written < len(data) {
 		c.Account.awaitProgress()
+		n, err := c.Conn.Write(data[written:min(written+drawStep, len(data))])
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return c.Conn.Write(data)
+	return written, nil
 }
 
 // GaveWayError reports that a connection was closed, since the callers of the instance
