Do not wait for memory while reading ahead of a statement

On the PostgreSQL path, a connection is read while its statement works, to notice its end. After a message above 16 KiB such a read marked the working session as idle, and waited for memory while the end of the statement waited for the read: seconds before the answer, or the session closed. Reads ahead now take what they need, at most 64 KiB, without waiting, and count for the next message. TestReadAheadDoesNotWait fails on the code before: the session gave way.

--- a/internal/edge/caller/watch.go
+++ b/internal/edge/caller/watch.go
@@ -18,6 +18,7 @@
 	}
 	done := make(chan struct{})
 	s.watchDone = done
+	s.account.ReadAhead(true)
 	go func() {
 		defer close(done)
 		for s.reader.Buffered() < maxReadAhead {
@@ -40,6 +41,7 @@
 	}
 	_ = s.conn.SetReadDeadline(aLongTimeAgo)
 	<-s.watchDone
+	s.account.ReadAhead(false)
 	_ = s.conn.SetReadDeadline(time.Time{})
 	s.watchDone = nil
 }
--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -79,7 +79,7 @@
 }
 
 // Account is one connection's part of the limits. Only the goroutine that serves the
-// connection uses it.
+// connection uses it, except that another one may read between two calls of ReadAhead.
 type Account struct {
 	limits            *Limits
 	conn              net.Conn
@@ -87,6 +87,10 @@
 	// messageBytes counts the bytes read of the present message, and covered is what has
 	// been drawn for it.
 	messageBytes, covered int64
+	// isReadingAhead is set while bytes are read that belong to later messages, of which
+	// there are aheadBytes.
+	isReadingAhead bool
+	aheadBytes     int64
 	// isInTransaction is what AwaitCaller was told last.
 	isInTransaction bool
 	// keepsConnection is set if the connection is not closed for another one.
@@ -266,20 +270,27 @@
 	return answerCost * int64(size)
 }
 
+// ReadAhead records whether the connection is read while a statement works, only to notice
+// its end. Such reads do not wait: whoever reads has to stop by itself.
+func (a *Account) ReadAhead(isReadingAhead bool) { a.isReadingAhead = isReadingAhead }
+
 // received records that further bytes of the present message were read, and waits until
 // the budget has room for more.
 func (a *Account) received(n int) error {
 	a.messageBytes += int64(n)
+	if a.isReadingAhead {
+		a.aheadBytes += int64(n)
+		a.take(a.missing())
+		return nil
+	}
 	if a.messageBytes <= freeBytes {
 		return nil
 	}
 	a.awaitProgress()
-	missing := a.limits.messageCost*a.messageBytes - a.covered
-	if missing <= 0 {
+	amount := a.missing()
+	if amount == 0 {
 		return nil
 	}
-	step := a.limits.messageCost * drawStep
-	amount := (missing + step - 1) / step * step
 	if err := a.Draw(amount); err != nil {
 		return err
 	}
@@ -287,10 +298,29 @@
 	return nil
 }
 
-// EndMessage gives back what the present message has drawn.
+// missing returns what has to be drawn so that the present message is covered.
+func (a *Account) missing() int64 {
+	missing := a.limits.messageCost*a.messageBytes - a.covered
+	if a.messageBytes <= freeBytes || missing <= 0 {
+		return 0
+	}
+	step := a.limits.messageCost * drawStep
+	return (missing + step - 1) / step * step
+}
+
+// take draws an amount for the present message without waiting for it.
+func (a *Account) take(amount int64) {
+	a.limits.mu.Lock()
+	defer a.limits.mu.Unlock()
+	a.limits.bytes.Take(a.bytes, amount)
+	a.covered += amount
+}
+
+// EndMessage gives back what the present message has drawn. What was read ahead counts for
+// the next one.
 func (a *Account) EndMessage() {
 	a.Return(a.covered)
-	a.messageBytes, a.covered = 0, 0
+	a.messageBytes, a.covered, a.aheadBytes = a.aheadBytes, 0, 0
 }
 
 // Conn is a caller's connection with its account. A read waits while the callers hold more
--- a/internal/edge/intake/intake_test.go
+++ b/internal/edge/intake/intake_test.go
@@ -160,3 +160,34 @@
 	}
 	f.expectClosed(0)
 }
+
+// Reading ahead while a statement works neither waits for memory nor makes the session
+// idle; what was read counts for the next message.
+func TestReadAheadDoesNotWait(t *testing.T) {
+	f := newFixture(t, 0)
+	conn, far := f.open()
+	f.receive(conn, far, testMessage)
+	conn.Account.Proceed()
+	other, _ := f.open()
+	other.Account.Proceed()
+	if err := other.Account.Draw(testMemory - testMessage); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	conn.Account.ReadAhead(true)
+	f.receive(conn, far, drawStep)
+	conn.Account.ReadAhead(false)
+	if took := time.Since(started); took > budget.IdleAfter/2 {
+		t.Errorf("reading ahead took %v", took)
+	}
+	conn.Account.EndMessage()
+	if conn.Account.messageBytes != drawStep {
+		t.Errorf("%d bytes count for the next message, want %d", conn.Account.messageBytes, drawStep)
+	}
+	time.Sleep(idle)
+	other.Account.Return(testMemory - testMessage)
+	if held := conn.Account.bytes.Held(); held != 0 {
+		t.Errorf("the ended message holds %d bytes", held)
+	}
+	f.expectClosed(0)
+}
