Log and count once that a connection gave way

A connection that was waiting for memory when it had to give way was counted, logged and closed again by itself, so that the counter of closed callers was up to twice too high. TestGivesWayOnce fails on the code before: 2 for 1.

--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -95,6 +95,8 @@
 	isInTransaction bool
 	// keepsConnection is set if the connection is not closed for another one.
 	keepsConnection bool
+	// hasGivenWay is set once the connection was closed for another one.
+	hasGivenWay bool
 	// done ends the waits of the account.
 	done <-chan struct{}
 }
@@ -128,10 +130,14 @@
 	}
 }
 
-// closeYielding closes the connection of a holder that has to give way. The limits must be
-// locked.
+// closeYielding closes the connection of a holder that has to give way, once. The limits must
+// be locked.
 func (l *Limits) closeYielding(h *budget.Holder, resource string) {
 	a := l.accounts[h]
+	if a.hasGivenWay {
+		return
+	}
+	a.hasGivenWay = true
 	closed.Add(resource, 1)
 	l.log(event.CallerClosed, event.F("resource", resource), event.F("caller", a.conn.RemoteAddr().String()),
 		event.F("bytes", a.bytes.Held()), event.F("used", l.bytes.Used()))
--- a/internal/edge/intake/intake_test.go
+++ b/internal/edge/intake/intake_test.go
@@ -191,3 +191,30 @@
 	}
 	f.expectClosed(0)
 }
+
+// A connection that waits for memory and has to give way is closed and logged once.
+func TestGivesWayOnce(t *testing.T) {
+	f := newFixture(t, 0)
+	first, _ := f.open()
+	first.Account.AwaitCaller(true)
+	if err := first.Account.Draw(testMemory); err != nil {
+		t.Fatal(err)
+	}
+	second, far := f.open()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = far.Write(make([]byte, testMessage))
+	}()
+	for {
+		if _, err := second.Read(make([]byte, testMessage)); err != nil {
+			break
+		}
+	}
+	if err := second.Account.Draw(1); err == nil {
+		t.Error("a connection that gave way got memory")
+	}
+	_ = second.Close()
+	<-written
+	f.expectClosed(1)
+}
