Cut long texts in log lines

A caller that names a route or a request of 1 MiB had that written to the log, up to 50 times a second for each event, and 4,096 lines are held for a reader that has stopped. Cause: lines were limited by number only. Now a line has the first KiB of a text and its length. TestWriterCutsLongTexts fails on the code before.

--- a/internal/report/eventlog/writer.go
+++ b/internal/report/eventlog/writer.go
@@ -22,6 +22,7 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"reflect"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +36,10 @@
 // per second.
 const DefaultLinesPerSecond = 50
 
+// maxTextBytes is how much of a text a line has: names, ids and texts of errors come from
+// callers and databases.
+const maxTextBytes = 1 << 10
+
 // limitWindow is the period over which lines are counted against the limit.
 const limitWindow = time.Second
 
@@ -177,12 +182,29 @@
 	record := slog.NewRecord(now, level, e.Name, 0)
 	record.AddAttrs(slog.Int("event", e.Number))
 	for _, field := range fields {
-		record.AddAttrs(slog.Any(field.Name, field.Value))
+		record.AddAttrs(slog.Any(field.Name, limitText(field.Value)))
 	}
 	// An error is ignored, because there is no other place to report it.
 	_ = w.handler.Handle(context.Background(), record)
 }
 
+// limitText cuts a text that is longer than maxTextBytes. Other values are returned as they
+// are.
+func limitText(value any) any {
+	text, isString := value.(string)
+	if !isString {
+		reflected := reflect.ValueOf(value)
+		if reflected.Kind() != reflect.String {
+			return value
+		}
+		text = reflected.String()
+	}
+	if len(text) <= maxTextBytes {
+		return value
+	}
+	return text[:maxTextBytes] + "...(" + strconv.Itoa(len(text)) + "_bytes)"
+}
+
 // levels maps the levels of the catalogue to those of the log.
 var levels = map[event.Level]slog.Level{
 	event.LevelDebug: slog.LevelDebug,
--- a/internal/report/eventlog/writer_test.go
+++ b/internal/report/eventlog/writer_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// A line has a limited size, however long a text a caller has sent.
+func TestWriterCutsLongTexts(t *testing.T) {
+	type id string
+	long := strings.Repeat("x", 1<<20)
+	writer, out := newTestWriter(9)
+	writer.Write(time.Unix(100, 0), event.Event{Number: 9994, Name: "long", Level: event.LevelWarn}, event.F("text", long), event.F("id", id(long)), event.F("short", id("y")))
+	cut := long[:1<<10] + "...(1048576_bytes)"
+	want := "level=WARN msg=long event=9994 text=" + cut + " id=" + cut + " short=y\n"
+	if diff := cmp.Diff(want, out.String()); diff != "" {
+		t.Errorf("%d bytes: %.300s", out.Len(), diff)
+	}
+}
+
 // BenchmarkWrite measures Write for an event whose line is not written, because
 // of its level or of its limit.
 func BenchmarkWrite(b *testing.B) {
