Bound the connections to the operators' port of the PostgreSQL path

Silent connections to the port took descriptors without a limit until they timed out, while the platform's ports keep 64. Now it keeps 128: 64 queries may wait for the core, and further ones get an answer that says so. TestSilentConnectionsAreBounded fails on the code before: 200 of 200 are open.

--- a/internal/edge/operator/edge.go
+++ b/internal/edge/operator/edge.go
@@ -44,6 +44,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/socket"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
@@ -61,6 +62,9 @@
 	writeTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 30 * time.Second
+	// maxConnections is the maximum number of open connections: those of the queries that
+	// wait, and as many others. The oldest is closed for another one.
+	maxConnections = 2 * maxPendingQueries
 	// shutdownTimeout is the maximum time to finish open requests at shutdown.
 	shutdownTimeout = time.Second
 )
@@ -137,7 +141,7 @@
 	s.log.Write(time.Now(), event.OperatorListening, event.F("address", listener.Addr().String()))
 	server := s.newServer(ctx)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(socket.LimitListener(listener, maxConnections)) }()
 	stopped := make(chan error, 1)
 	go func() {
 		defer close(stopped)
--- a/internal/edge/operator/edge_test.go
+++ b/internal/edge/operator/edge_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -233,6 +235,36 @@
 	}
 }
 
+// A crowd of silent connections neither stays open nor keeps an operator from being served.
+func TestSilentConnectionsAreBounded(t *testing.T) {
+	const crowd = 200
+	fake, _ := start(t, operator.Options{}, noAnswer)
+	conns := make([]net.Conn, crowd)
+	for i := range conns {
+		conn, err := net.Dial("tcp", fake.server.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		conns[i] = conn
+	}
+	response, err := http.Get("http://" + fake.server.Address().String() + "/health")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	open := 0
+	for _, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			open++
+		}
+	}
+	if open > 128 {
+		t.Errorf("%d silent connections are open, want at most 128", open)
+	}
+}
+
 func TestCoreDoesNotAnswer(t *testing.T) {
 	_, client := start(t, operator.Options{Token: "secret", AnswerTimeout: time.Millisecond}, noAnswer)
 	ctx := context.Background()
