Count prepared statements and settings of PostgreSQL sessions as memory of callers

A session may keep 1 MiB of named prepared statements, as much of an unnamed one and 64 KiB of settings, and 10,000 sessions may: none of it was part of the budget, unlike on the platform's path. Now a session draws it after the batch, and gives it back when it closes them.

--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -31,10 +31,12 @@
 	id      model.SessionID
 	conn    net.Conn
 	account *intake.Account
-	reader  *postgres.Reader
-	group   model.GroupID
-	caller  model.CallerID
-	durable *durablePosition
+	// heldState is what account holds for prepared statements and settings.
+	heldState int64
+	reader    *postgres.Reader
+	group     model.GroupID
+	caller    model.CallerID
+	durable   *durablePosition
 
 	// writeDeadline is the current deadline of writes to the caller.
 	writeDeadline time.Time
@@ -134,12 +136,24 @@
 			s.awaitBackground()
 			s.account.EndMessage()
 		}
+		if err == nil {
+			err = s.holdState()
+		}
 		if err != nil {
 			return s.end(err)
 		}
 	}
 }
 
+// holdState draws what the prepared statements and settings of the session take, and gives
+// back what they no longer do. Its error is an *intake.GaveWayError.
+func (s *session) holdState() error {
+	size := int64(s.statements.size() + 2*len(s.settings.joined))
+	err := s.account.Resize(size - s.heldState)
+	s.heldState = size
+	return err
+}
+
 // awaitBackground waits for the goroutines that the batch has started.
 func (s *session) awaitBackground() {
 	s.stopCallerWatch()
--- a/internal/edge/caller/statement.go
+++ b/internal/edge/caller/statement.go
@@ -109,4 +109,12 @@
 	}
 }
 
+// size returns the size of all statements, in bytes.
+func (s *statements) size() int {
+	if s.unnamed == nil {
+		return s.bytes
+	}
+	return s.bytes + len(s.unnamed.parseMessage)
+}
+
 func (s *statements) clear() { *s = statements{} }
