Tell peers what has changed about the groups, not all groups

Cause: each gossip message carried all groups, two a second on each link, and so did each answer to a request for a view, about two a second from each instance. A head is linked to all members of its zone, so that its traffic grew with the product of members and groups.

Change: a peer acknowledges the version of the groups that it knows, and is told of what has changed since (internal/core/gossip). A receiver that lacks what changes are based on knows no groups until all arrive. The members of a zone do not use each other's counts of observers and are not told of changes to these alone. The first message to an unknown peer has no groups, since it could not use them.

--- a/internal/core/message/event_fleet.go
+++ b/internal/core/message/event_fleet.go
@@ -53,6 +53,13 @@
 	// MembersVersion is the version of the table of groups at which the sender read the
 	// members; zero if that was too long ago.
 	MembersVersion uint64
+	// GroupsVersion counts the states of the sender's groups. If GroupsSince is not zero,
+	// Groups contains only those that have changed after the version GroupsSince, which
+	// the receiver has acknowledged; otherwise it contains all.
+	GroupsVersion, GroupsSince uint64
+	// GroupsReceived acknowledges the GroupsVersion up to which the sender knows the
+	// receiver's groups; zero if it does not know them.
+	GroupsReceived uint64
 }
 
 // GroupGossip is the part of a GossipState about one group.
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/gossip"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
@@ -88,25 +89,25 @@
 	isLinked      bool
 	lastMessageAt time.Time
 	gossip        message.GossipState
-	// groups holds the group gossip of the last message, by group.
-	groups map[model.GroupID]message.GroupGossip
+	// groups holds what the peer has told about the groups.
+	groups gossip.Received
 	// gossipReceivedAt is when gossip was last received.
 	gossipReceivedAt time.Time
 }
 
-// recordGossip records gossip that was received at a time.
-func (p *peer) recordGossip(state message.GossipState, now time.Time) {
+// recordGossip records gossip that was received at a time. It reports whether all of the
+// peer's groups are known.
+func (p *peer) recordGossip(state message.GossipState, now time.Time) bool {
+	hasGroups := p.groups.Apply(state)
+	state.Groups = nil
 	p.lastMessageAt, p.gossipReceivedAt, p.gossip = now, now, state
-	p.groups = make(map[model.GroupID]message.GroupGossip, len(state.Groups))
-	for _, group := range state.Groups {
-		p.groups[group.Group] = group
-	}
+	return hasGroups
 }
 
 // groupGossip returns what the peer last sent about a group's primary, if it
 // was about the given epoch.
 func (p *peer) groupGossip(group model.GroupID, epoch uint64) (message.GroupGossip, bool) {
-	groupGossip, found := p.groups[group]
+	groupGossip, found := p.groups.Group(group)
 	return groupGossip, found && groupGossip.Row.Epoch == epoch
 }
 
@@ -245,9 +246,11 @@
 	switch incoming := incoming.(type) {
 	case message.PeerConnected:
 		f.peers.mu.Lock()
-		f.peers.getOrAdd(incoming.Peer).isLinked = true
+		p := f.peers.getOrAdd(incoming.Peer)
+		isNew := p.lastMessageAt.IsZero()
+		p.isLinked = true
 		f.peers.mu.Unlock()
-		f.sendInitialGossip(incoming.Peer)
+		f.sendInitialGossip(incoming.Peer, isNew)
 	case message.PeerDisconnected:
 		f.peers.mu.Lock()
 		if p, found := f.peers.known[incoming.Peer]; found {
--- a/internal/node/fleet/peers_gossip.go
+++ b/internal/node/fleet/peers_gossip.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/fresh"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/gossip"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -21,18 +21,20 @@
 // groupGossip caches the gossip about all groups for answers in quick
 // succession.
 type groupGossip struct {
-	mu          sync.Mutex
-	groupGossip []message.GroupGossip
+	mu        sync.Mutex
+	published gossip.Published
 	// view is the version of the view whose groups are cached.
 	view    uint64
 	builtAt time.Time
+	// isStale is set if the present state may differ from the cached one.
+	isStale bool
 }
 
 // invalidate makes the next gossip message contain the present state.
 func (c *groupGossip) invalidate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.groupGossip = nil
+	c.isStale = true
 }
 
 // gossipPeriodically sends gossip to the linked peers until ctx ends.
@@ -55,17 +57,35 @@
 	p := f.peers.getOrAdd(to)
 	p.lastMessageAt = clock.Now()
 	p.gossip.SenderClock = request.SenderClock
-	lastReceived := p.gossip
+	f.peers.mu.Unlock()
+	f.answerGossip(to)
+}
+
+// answerGossip sends a peer gossip that echoes its last message.
+func (f *Fleet) answerGossip(to model.InstanceID) {
+	f.peers.mu.Lock()
+	p := f.peers.getOrAdd(to)
+	lastReceived := receivedGossip{p.gossip, p.groups.Version()}
 	list := f.peers.recentMembers()
 	f.peers.mu.Unlock()
-	f.sendGossip(to, f.gossip(), lastReceived, list)
+	state, groups := f.gossipWithoutGroups()
+	f.sendGossip(to, state, groups, lastReceived, list)
+}
+
+// receivedGossip is the last gossip of a peer, and the version of its groups that is known.
+type receivedGossip struct {
+	message.GossipState
+	groupsVersion uint64
 }
 
 // sendGossip completes the gossip for one peer, which has sent lastReceived,
 // and sends it.
 func (f *Fleet) sendGossip(
-	to model.InstanceID, state, lastReceived message.GossipState, list memberList,
+	to model.InstanceID, state message.GossipState, groups gossip.Published, lastReceived receivedGossip, list memberList,
 ) {
+	state.Groups, state.GroupsSince = groups.Since(
+		lastReceived.GroupsReceived, lastReceived.Zone == f.options.Zone, time.Unix(0, 0).Add(state.SenderClock))
+	state.GroupsReceived = lastReceived.groupsVersion
 	receiver, isListed := list.members[lastReceived.Instance]
 	state.EchoedClock, state.MembersVersion = lastReceived.SenderClock, list.version
 	state.ReceiverIsMember = isListed && !receiver.isRejected
@@ -79,23 +99,31 @@
 func (f *Fleet) broadcast() {
 	f.groupGossip.invalidate()
 	f.peers.mu.Lock()
-	lastReceived := map[model.InstanceID]message.GossipState{}
+	lastReceived := map[model.InstanceID]receivedGossip{}
 	for id, p := range f.peers.known {
 		if p.isLinked {
-			lastReceived[id] = p.gossip
+			lastReceived[id] = receivedGossip{p.gossip, p.groups.Version()}
 		}
 	}
 	list := f.peers.recentMembers()
 	f.peers.mu.Unlock()
-	gossip := f.gossip()
+	state, groups := f.gossipWithoutGroups()
 	for id, received := range lastReceived {
-		f.sendGossip(id, gossip, received, list)
+		f.sendGossip(id, state, groups, received, list)
 	}
 }
 
-// gossip returns the present state of this instance, without the fields that
-// depend on the receiver.
+// gossip returns the present state of this instance with all groups, without the other
+// fields that depend on the receiver.
 func (f *Fleet) gossip() message.GossipState {
+	state, groups := f.gossipWithoutGroups()
+	state.Groups, state.GroupsSince = groups.Since(0, false, time.Unix(0, 0).Add(state.SenderClock))
+	return state
+}
+
+// gossipWithoutGroups returns the present state of this instance, without the fields that
+// depend on the receiver, and its groups.
+func (f *Fleet) gossipWithoutGroups() (message.GossipState, gossip.Published) {
 	now := clock.Now()
 	view := f.Leases.View()
 	state := message.GossipState{
@@ -115,26 +143,22 @@
 		return now.Sub(p.lastMessageAt) < shareRetention
 	})
 	f.peers.mu.Unlock()
-	state.Groups = f.cachedGroupGossip(view, now)
-	return state
+	groups := f.cachedGroupGossip(view, now)
+	state.GroupsVersion = groups.Version()
+	return state, groups
 }
 
 // cachedGroupGossip returns the gossip about the groups of a view. Requests within
-// maxGroupGossipAge get the same content, with its ages advanced; broadcast has
-// it built again.
-func (f *Fleet) cachedGroupGossip(view lease.View, now time.Time) []message.GroupGossip {
+// maxGroupGossipAge get the same content; broadcast has it built again.
+func (f *Fleet) cachedGroupGossip(view lease.View, now time.Time) gossip.Published {
 	f.groupGossip.mu.Lock()
 	defer f.groupGossip.mu.Unlock()
 	cache := &f.groupGossip
-	if age := now.Sub(cache.builtAt); cache.view != view.Version || age >= maxGroupGossipAge || cache.groupGossip == nil {
-		cache.groupGossip, cache.view, cache.builtAt = f.buildGroupGossip(view, now), view.Version, now
-		return cache.groupGossip
+	if cache.view != view.Version || now.Sub(cache.builtAt) >= maxGroupGossipAge || cache.isStale {
+		cache.published = cache.published.Next(f.buildGroupGossip(view, now), now)
+		cache.view, cache.builtAt, cache.isStale = view.Version, now, false
 	}
-	aged := slices.Clone(cache.groupGossip)
-	for i := range aged {
-		aged[i].SampleAge += now.Sub(cache.builtAt)
-	}
-	return aged
+	return cache.published
 }
 
 // buildGroupGossip returns the present gossip about all groups of a view.
@@ -144,15 +168,15 @@
 		// The coordinator and the reason only serve the logs of the instances
 		// that read the row from the store.
 		row.Coordinator, row.Reason = "", ""
-		gossip := message.GroupGossip{
+		group := message.GroupGossip{
 			Group: name, Row: row, UnansweredFor: f.Scheduler.FailureDuration(name),
 		}
-		gossip.Observers, gossip.UnansweredObservers = f.countObservers(name, row.Epoch,
-			gossip.UnansweredFor)
+		group.Observers, group.UnansweredObservers = f.countObservers(name, row.Epoch,
+			group.UnansweredFor)
 		if sample, found := f.SamplesOf(name).Newest(); found {
-			gossip.SampledPosition, gossip.SampleAge = sample.Position, now.Sub(sample.At)
+			group.SampledPosition, group.SampleAge = sample.Position, now.Sub(sample.At)
 		}
-		groups = append(groups, gossip)
+		groups = append(groups, group)
 	}
 	return groups
 }
@@ -245,9 +269,15 @@
 	return p.gossipReceived
 }
 
-// sendInitialGossip sends a peer its first gossip, which echoes no clock.
-func (f *Fleet) sendInitialGossip(id model.InstanceID) {
-	f.peers.links.HandleAction(message.SendPeer{To: id, Body: f.gossip()})
+// sendInitialGossip sends a peer the first gossip on a link, which echoes no clock. A peer
+// from which no message has arrived yet is sent no groups: it uses none without an echo, and
+// gets all with the answer to its own first message.
+func (f *Fleet) sendInitialGossip(id model.InstanceID, isNew bool) {
+	state := f.gossip()
+	if isNew {
+		state.Groups, state.GroupsVersion = nil, 0
+	}
+	f.peers.links.HandleAction(message.SendPeer{To: id, Body: state})
 }
 
 // handlePeerMessage handles a message of a peer.
@@ -289,13 +319,16 @@
 	f.peers.mu.Lock()
 	p := f.peers.getOrAdd(from)
 	isNew := p.lastMessageAt.IsZero()
-	p.recordGossip(state, clock.Now())
+	hasGroups := p.recordGossip(state, clock.Now())
+	rows := p.groups.Rows()
 	close(f.peers.gossipReceived)
 	f.peers.gossipReceived = make(chan struct{})
 	f.peers.mu.Unlock()
 	if state.EchoedClock > 0 {
 		echoedAt := time.Unix(0, 0).Add(state.EchoedClock)
-		f.applyPeerView(from, echoedAt, state)
+		if hasGroups {
+			f.applyPeerView(from, echoedAt, state, rows)
+		}
 		f.applyConfirmation(echoedAt, state)
 	}
 	f.requestNewer(from, state)
@@ -303,7 +336,7 @@
 		f.requestRenewal()
 	}
 	if isNew {
-		f.sendInitialGossip(from)
+		f.answerGossip(from)
 		f.publishIfResized()
 	}
 }
@@ -311,17 +344,16 @@
 // applyPeerView updates the view of the table of groups and the position
 // samples from the gossip of a peer. The peer computed the ages in the gossip
 // after this instance had sent the message whose clock is echoed; the ages
-// therefore count back from echoedAt.
-func (f *Fleet) applyPeerView(from model.InstanceID, echoedAt time.Time, state message.GossipState) {
+// therefore count back from echoedAt. rows are those of all groups of the peer.
+func (f *Fleet) applyPeerView(
+	from model.InstanceID, echoedAt time.Time, state message.GossipState, rows map[model.GroupID]lease.GroupRow,
+) {
 	if state.ViewVersion > 0 {
 		view := lease.View{
 			Version: state.ViewVersion, ReadStartedAt: echoedAt.Add(-state.ViewAge),
 			CoordinatorLease: state.CoordinatorLease,
 			IsMember:         f.isMemberBy(state),
-			Rows:             make(map[model.GroupID]lease.GroupRow, len(state.Groups)),
-		}
-		for _, group := range state.Groups {
-			view.Rows[group.Group] = group.Row
+			Rows:             rows,
 		}
 		f.updateView(view, string(from))
 	}
--- a/internal/node/fleet/peers_gossip_test.go
+++ b/internal/node/fleet/peers_gossip_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
 
@@ -20,12 +21,16 @@
 	position := model.Position{Term: 1, Offset: 7}
 	f.SamplesOf("ratings").Add(now, position)
 	view := lease.View{Version: 4, Rows: map[model.GroupID]lease.GroupRow{"ratings": {Epoch: 1, Primary: "a"}}}
-	first := f.cachedGroupGossip(view, now)
+	groupAt := func(view lease.View, at time.Time) message.GroupGossip {
+		groups, _ := f.cachedGroupGossip(view, at).Since(0, false, at)
+		return groups[0]
+	}
+	first := groupAt(view, now)
 	f.SamplesOf("ratings").Add(now.Add(time.Second), model.Position{Term: 1, Offset: 9})
-	ages := []time.Duration{first[0].SampleAge}
-	positions := []uint64{first[0].SampledPosition.Offset}
+	ages := []time.Duration{first.SampleAge}
+	positions := []uint64{first.SampledPosition.Offset}
 	record := func(view lease.View, at time.Time) {
-		gossip := f.cachedGroupGossip(view, at)[0]
+		gossip := groupAt(view, at)
 		ages, positions = append(ages, gossip.SampleAge), append(positions, gossip.SampledPosition.Offset)
 	}
 	record(view, now.Add(maxGroupGossipAge/2))
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -195,7 +195,7 @@
 	f := newUnstartedFleet(1, 3)
 	f.peers.isListed = false
 	state := message.GossipState{ViewVersion: 12, Groups: nil}
-	f.applyPeerView("z1-2", clock.Now(), state)
+	f.applyPeerView("z1-2", clock.Now(), state, nil)
 	if f.Leases.View().IsMember {
 		t.Error("a member, though neither the table nor the peer lists it")
 	}
@@ -203,7 +203,7 @@
 	members["z1-1"] = member{Address: addressOf(1, 1), Zone: "z1"}
 	f.updateMembers(members, 13)
 	state.ViewVersion = 14
-	f.applyPeerView("z1-2", clock.Now(), state)
+	f.applyPeerView("z1-2", clock.Now(), state, nil)
 	if !f.Leases.View().IsMember {
 		t.Error("not a member, though the table listed it recently")
 	}
@@ -222,13 +222,13 @@
 		version++
 		f.applyPeerView("z1-2", clock.Now(), message.GossipState{
 			ViewVersion: version, MembersVersion: c.membersVersion, ReceiverIsMember: c.receiverIsMember,
-		})
+		}, nil)
 		if got := f.isMember(); got != c.want {
 			t.Errorf("%+v: a member: %v", c, got)
 		}
 	}
 	f.updateMembers(map[model.InstanceID]member{}, 20)
-	f.applyPeerView("z1-2", clock.Now(), message.GossipState{ViewVersion: 21, MembersVersion: 19, ReceiverIsMember: true})
+	f.applyPeerView("z1-2", clock.Now(), message.GossipState{ViewVersion: 21, MembersVersion: 19, ReceiverIsMember: true}, nil)
 	if f.isMember() {
 		t.Error("a member by a list that is older than the one without it")
 	}
