Bound the peers that an instance dials when it loses links

An instance whose links time out because it is overloaded dialed all others, and so did they.

Change: at most nine lost heads of a zone are dialed. The others count as lost until their time is over, which doubles, up to 48 s, if the link can't be made after it either; all are tried in time.

--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -63,9 +63,8 @@
 	membersVersion uint64
 	membersReadAt  time.Time
 	isListed       bool
-	// lostAt holds when a link to an address was last lost or could not be
-	// made.
-	lostAt map[netip.AddrPort]time.Time
+	// lostLinks holds the addresses to which a link was lost or could not be made.
+	lostLinks map[netip.AddrPort]lostLink
 	// viewRequestedAt is when a view was last requested from a peer.
 	viewRequestedAt time.Time
 	// gossipReceived is closed, and replaced, when gossip is received.
@@ -120,7 +119,7 @@
 
 func newPeers() peers {
 	return peers{
-		known: map[model.InstanceID]*peer{}, lostAt: map[netip.AddrPort]time.Time{},
+		known: map[model.InstanceID]*peer{}, lostLinks: map[netip.AddrPort]lostLink{},
 		gossipReceived: make(chan struct{}),
 	}
 }
@@ -256,7 +255,7 @@
 		if p, found := f.peers.known[incoming.Peer]; found {
 			p.isLinked = false
 		}
-		f.peers.lostAt[incoming.Address] = clock.Now()
+		f.peers.recordLostLink(incoming.Address, clock.Now())
 		f.peers.mu.Unlock()
 	case message.PeerMessageReceived:
 		f.handlePeerMessage(incoming.From, incoming.Body)
@@ -265,14 +264,14 @@
 
 // prune removes state that no decision uses any more: the entries of start IDs
 // without a link and without a message for longer than twice memberExpiry, and
-// links lost longer than lostLinkTimeout ago.
+// links lost longer than twice maxLostLinkTimeout ago.
 func (p *peers) prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.known, func(_ model.InstanceID, known *peer) bool {
 		return !known.isLinked && now.Sub(known.lastMessageAt) > 2*memberExpiry
 	})
-	maps.DeleteFunc(p.lostAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > lostLinkTimeout })
+	maps.DeleteFunc(p.lostLinks, func(_ netip.AddrPort, l lostLink) bool { return now.Sub(l.at) > 2*maxLostLinkTimeout })
 }
 
 // getOrAdd returns the state of a peer, which is added if there is none. The
--- a/internal/node/fleet/peers_gossip.go
+++ b/internal/node/fleet/peers_gossip.go
@@ -321,6 +321,7 @@
 	isNew := p.lastMessageAt.IsZero()
 	hasGroups := p.recordGossip(state, clock.Now())
 	rows := p.groups.Rows()
+	f.peers.recordRestoredLink(state.PeerAddress)
 	close(f.peers.gossipReceived)
 	f.peers.gossipReceived = make(chan struct{})
 	f.peers.mu.Unlock()
--- a/internal/node/fleet/peers_link.go
+++ b/internal/node/fleet/peers_link.go
@@ -16,10 +16,49 @@
 	// is still linked.
 	headsPerZone = 3
 	// lostLinkTimeout is how long, after a link to an instance was lost or
-	// could not be made, another instance is linked in its place.
-	lostLinkTimeout = 3 * time.Second
+	// could not be made, another instance is linked in its place. If the link can't be
+	// made after that either, the time doubles, up to maxLostLinkTimeout.
+	lostLinkTimeout    = 3 * time.Second
+	maxLostLinkTimeout = 16 * lostLinkTimeout
+	// maxLostHeads is the maximum number of heads of an availability zone that are
+	// dialed although the links to them are lost. Without a maximum, an instance that loses
+	// link after link, because it or the network is overloaded, dials all others.
+	maxLostHeads = 3 * headsPerZone
 )
 
+// lostLink is the loss of the link to an address, or of the last attempt to make one.
+type lostLink struct {
+	at time.Time
+	// timeout is how long another instance is linked in place of this one.
+	timeout time.Duration
+}
+
+// isInForce reports whether another instance is to be linked in place of the lost one.
+func (l lostLink) isInForce(now time.Time) bool { return now.Sub(l.at) <= l.timeout }
+
+// recordLostLink records that the link to an address was lost or could not be made. The
+// peers must be locked.
+func (p *peers) recordLostLink(address netip.AddrPort, now time.Time) {
+	known, found := p.lostLinks[address]
+	switch {
+	case !found:
+		known.timeout = lostLinkTimeout
+	case !known.isInForce(now):
+		known.timeout = min(2*known.timeout, maxLostLinkTimeout)
+	}
+	known.at = now
+	p.lostLinks[address] = known
+}
+
+// recordRestoredLink records that a message has arrived from the instance at an address.
+// The peers must be locked.
+func (p *peers) recordRestoredLink(address netip.AddrPort) {
+	if known, found := p.lostLinks[address]; found {
+		known.timeout = lostLinkTimeout
+		p.lostLinks[address] = known
+	}
+}
+
 // updateLinks sets the peers to which the peer edge keeps links. The members of
 // an availability zone are ordered by name; the first ones are its heads. Every
 // instance keeps links to the heads of its own zone, and a head also to those
@@ -70,10 +109,12 @@
 // heads returns the addresses of the heads among the instances of an
 // availability zone, without that of this instance, and whether this instance
 // is one of them. It sorts names. A head whose link is lost remains a head, and
-// the next instance becomes one as well. The peers must be locked.
+// the next instance becomes one as well; of the lost ones, maxLostHeads at most are dialed
+// at the same time. The peers must be locked.
 func (f *Fleet) heads(names []model.InstanceID) (addresses []netip.AddrPort, isHead bool) {
 	slices.Sort(names)
-	available := 0
+	now := clock.Now()
+	available, lost := 0, 0
 	for _, name := range names {
 		if available == headsPerZone {
 			break
@@ -84,10 +125,15 @@
 			continue
 		}
 		address := f.peers.members[name].Address
-		addresses = append(addresses, address)
-		if clock.Since(f.peers.lostAt[address]) > lostLinkTimeout {
+		if known, found := f.peers.lostLinks[address]; found && known.isInForce(now) {
+			lost++
+			if lost > maxLostHeads {
+				continue
+			}
+		} else {
 			available++
 		}
+		addresses = append(addresses, address)
 	}
 	return addresses, isHead
 }
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -80,6 +80,49 @@
 	}
 }
 
+// An instance that loses link after link must not dial ever more of the others: the links
+// of an overloaded fleet would multiply its load. It must try all of them in time, since the
+// first ones may be gone for good.
+func TestLostLinksAreBounded(t *testing.T) {
+	const perZone, bound = 75, 36
+	f := newUnstartedFleet(perZone, perZone)
+	tried, most := map[netip.AddrPort]bool{}, 0
+	for range perZone {
+		addresses := f.linkedHeads()
+		most = max(most, len(addresses))
+		for _, address := range addresses {
+			tried[address] = true
+			f.Post(message.PeerDisconnected{Address: address})
+		}
+	}
+	if most > bound {
+		t.Errorf("%d links, want %d at most", most, bound)
+	}
+	if diff := cmp.Diff(3*perZone-1, len(tried)); diff != "" {
+		t.Errorf("instances tried: %s", diff)
+	}
+}
+
+// A link that can't be made again and again must be tried less often, and a link that
+// carries messages again counts as one that was never lost before.
+func TestLostLinkTimeoutGrows(t *testing.T) {
+	p := newPeers()
+	now, address := clock.Now(), addressOf(1, 1)
+	var timeouts []time.Duration
+	for range 6 {
+		p.recordLostLink(address, now)
+		p.recordLostLink(address, now.Add(time.Second))
+		timeouts = append(timeouts, p.lostLinks[address].timeout/lostLinkTimeout)
+		now = now.Add(p.lostLinks[address].timeout + 2*time.Second)
+	}
+	p.recordRestoredLink(address)
+	p.recordLostLink(address, now.Add(-time.Second))
+	timeouts = append(timeouts, p.lostLinks[address].timeout/lostLinkTimeout)
+	if diff := cmp.Diff([]time.Duration{1, 2, 4, 8, 16, 16, 2}, timeouts); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // receiveGossip records gossip of another instance, whose zone is the first two
 // letters of its name.
 func (f *Fleet) receiveGossip(name model.InstanceID, state message.GossipState) {
@@ -277,9 +320,9 @@
 	f.Post(message.PeerDisconnected{Peer: "z1-3", Address: addressOf(1, 3)})
 	now := clock.Now()
 	f.peers.prune(now)
-	kept := []int{len(f.peers.known), len(f.peers.lostAt)}
+	kept := []int{len(f.peers.known), len(f.peers.lostLinks)}
 	f.peers.prune(now.Add(2*memberExpiry + time.Second))
-	kept = append(kept, len(f.peers.known), len(f.peers.lostAt))
+	kept = append(kept, len(f.peers.known), len(f.peers.lostLinks))
 	if diff := cmp.Diff([]int{2, 1, 1, 0}, kept); diff != "" {
 		t.Error(diff)
 	}
