Count the messages between instances by type

What operators lacked: the metrics showed how many messages and bytes an instance sends to its peers, but not of which type, so that the growth of its traffic could not be explained.

Change: messages and bytes, sent and received, are also counted by type of message in `peers`. TestMessagesAreCountedByType.

--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -421,6 +421,31 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// An operator must be able to tell which messages an instance's traffic consists of.
+func TestMessagesAreCountedByType(t *testing.T) {
+	names := []string{"sent.bulletin-wanted", "sent.bytes.bulletin-wanted", "received.bulletin-wanted", "received.bytes.bulletin-wanted"}
+	before := map[string]int64{}
+	for _, name := range names {
+		before[name] = counterValue(name)
+	}
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.setPeer("b", b.Address())
+	request := message.GossipStateRequest{SenderClock: 9 * time.Second}
+	deliver(a, b, request)
+	content, err := encodeMessage(request, messageLevel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := int64(lengthSize + sequenceSize + len(content) + macSize)
+	for i, want := range []int64{1, size, 1, size} {
+		for deadline := time.Now().Add(10 * time.Second); counterValue(names[i])-before[names[i]] != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s has grown by %d, want %d", names[i], counterValue(names[i])-before[names[i]], want)
+			}
+		}
+	}
+}
+
 // -----------------------------------------------------------------------------
 // Options and TLS.
 
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -96,6 +96,7 @@
 		l.hasReceived.Store(true)
 		if m != nil {
 			counters.Add("received", 1)
+			countMessage("received", messageTypeOf(m).name, lengthSize+len(frame))
 			handle(m)
 		}
 	}
@@ -145,9 +146,17 @@
 			return err
 		}
 		counters.Add("sent", 1)
+		countMessage("sent", messageTypeOf(m).name, lengthSize+sequenceSize+len(body)+macSize)
 	}
 }
 
+// countMessage counts a message of a type, and its bytes on the wire. direction is "sent" or
+// "received".
+func countMessage(direction, messageName string, size int) {
+	counters.Add(direction+"."+messageName, 1)
+	counters.Add(direction+".bytes."+messageName, int64(size))
+}
+
 func (l *link) writeContent(buffered *bufio.Writer, content []byte, timeout time.Duration) error {
 	if err := l.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return errors.WithStack(err)
