Forget lost links after twice their timeout

The addresses of accepted links are among them, one for each connection: they must not be kept for minutes. TestOldPeersArePruned covers the removal.

--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -264,14 +264,14 @@
 
 // prune removes state that no decision uses any more: the entries of start IDs
 // without a link and without a message for longer than twice memberExpiry, and
-// links lost longer than twice maxLostLinkTimeout ago.
+// links lost longer than twice their timeout ago.
 func (p *peers) prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.known, func(_ model.InstanceID, known *peer) bool {
 		return !known.isLinked && now.Sub(known.lastMessageAt) > 2*memberExpiry
 	})
-	maps.DeleteFunc(p.lostLinks, func(_ netip.AddrPort, l lostLink) bool { return now.Sub(l.at) > 2*maxLostLinkTimeout })
+	maps.DeleteFunc(p.lostLinks, func(_ netip.AddrPort, l lostLink) bool { return now.Sub(l.at) > 2*l.timeout })
 }
 
 // getOrAdd returns the state of a peer, which is added if there is none. The
