--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/gossip"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 )
@@ -62,9 +63,8 @@
 	membersVersion uint64
 	membersReadAt  time.Time
 	isListed       bool
-	// lostAt holds when a link to an address was last lost or could not be
-	// made.
-	lostAt map[netip.AddrPort]time.Time
+	// lostLinks holds the addresses to which a link was lost or could not be made.
+	lostLinks map[netip.AddrPort]lostLink
 	// viewRequestedAt is when a view was last requested from a peer.
 	viewRequestedAt time.Time
 	// gossipReceived is closed, and replaced, when gossip is received.
@@ -88,25 +88,25 @@
 	isLinked      bool
 	lastMessageAt time.Time
 	gossip        message.GossipState
-	// groups holds the group gossip of the last message, by group.
-	groups map[model.GroupID]message.GroupGossip
+	// groups holds what the peer has told about the groups.
+	groups gossip.Received
 	// gossipReceivedAt is when gossip was last received.
 	gossipReceivedAt time.Time
 }
 
-// recordGossip records gossip that was received at a time.
-func (p *peer) recordGossip(state message.GossipState, now time.Time) {
+// recordGossip records gossip that was received at a time. It reports whether all of the
+// peer's groups are known.
+func (p *peer) recordGossip(state message.GossipState, now time.Time) bool {
+	hasGroups := p.groups.Apply(state)
+	state.Groups = nil
 	p.lastMessageAt, p.gossipReceivedAt, p.gossip = now, now, state
-	p.groups = make(map[model.GroupID]message.GroupGossip, len(state.Groups))
-	for _, group := range state.Groups {
-		p.groups[group.Group] = group
-	}
+	return hasGroups
 }
 
 // groupGossip returns what the peer last sent about a group's primary, if it
 // was about the given epoch.
 func (p *peer) groupGossip(group model.GroupID, epoch uint64) (message.GroupGossip, bool) {
-	groupGossip, found := p.groups[group]
+	groupGossip, found := p.groups.Group(group)
 	return groupGossip, found && groupGossip.Row.Epoch == epoch
 }
 
@@ -119,7 +119,7 @@
 
 func newPeers() peers {
 	return peers{
-		known: map[model.InstanceID]*peer{}, lostAt: map[netip.AddrPort]time.Time{},
+		known: map[model.InstanceID]*peer{}, lostLinks: map[netip.AddrPort]lostLink{},
 		gossipReceived: make(chan struct{}),
 	}
 }
@@ -245,15 +245,17 @@
 	switch incoming := incoming.(type) {
 	case message.PeerConnected:
 		f.peers.mu.Lock()
-		f.peers.getOrAdd(incoming.Peer).isLinked = true
+		p := f.peers.getOrAdd(incoming.Peer)
+		isNew := p.lastMessageAt.IsZero()
+		p.isLinked = true
 		f.peers.mu.Unlock()
-		f.sendInitialGossip(incoming.Peer)
+		f.sendInitialGossip(incoming.Peer, isNew)
 	case message.PeerDisconnected:
 		f.peers.mu.Lock()
 		if p, found := f.peers.known[incoming.Peer]; found {
 			p.isLinked = false
 		}
-		f.peers.lostAt[incoming.Address] = clock.Now()
+		f.peers.recordLostLink(incoming.Address, clock.Now())
 		f.peers.mu.Unlock()
 	case message.PeerMessageReceived:
 		f.handlePeerMessage(incoming.From, incoming.Body)
@@ -262,14 +264,14 @@
 
 // prune removes state that no decision uses any more: the entries of start IDs
 // without a link and without a message for longer than twice memberExpiry, and
-// links lost longer than lostLinkTimeout ago.
+// links lost longer than twice their timeout ago.
 func (p *peers) prune(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.known, func(_ model.InstanceID, known *peer) bool {
 		return !known.isLinked && now.Sub(known.lastMessageAt) > 2*memberExpiry
 	})
-	maps.DeleteFunc(p.lostAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > lostLinkTimeout })
+	maps.DeleteFunc(p.lostLinks, func(_ netip.AddrPort, l lostLink) bool { return now.Sub(l.at) > 2*l.timeout })
 }
 
 // getOrAdd returns the state of a peer, which is added if there is none. The
--- a/internal/node/fleet/peers_link_test.go
+++ b/internal/node/fleet/peers_link_test.go
@@ -80,6 +80,49 @@
 	}
 }
 
+// An instance that loses link after link must not dial ever more of the others: the links
+// of an overloaded fleet would multiply its load. It must try all of them in time, since the
+// first ones may be gone for good.
+func TestLostLinksAreBounded(t *testing.T) {
+	const perZone, bound = 75, 36
+	f := newUnstartedFleet(perZone, perZone)
+	tried, most := map[netip.AddrPort]bool{}, 0
+	for range perZone {
+		addresses := f.linkedHeads()
+		most = max(most, len(addresses))
+		for _, address := range addresses {
+			tried[address] = true
+			f.Post(message.PeerDisconnected{Address: address})
+		}
+	}
+	if most > bound {
+		t.Errorf("%d links, want %d at most", most, bound)
+	}
+	if diff := cmp.Diff(3*perZone-1, len(tried)); diff != "" {
+		t.Errorf("instances tried: %s", diff)
+	}
+}
+
+// A link that can't be made again and again must be tried less often, and a link that
+// carries messages again counts as one that was never lost before.
+func TestLostLinkTimeoutGrows(t *testing.T) {
+	p := newPeers()
+	now, address := clock.Now(), addressOf(1, 1)
+	var timeouts []time.Duration
+	for range 6 {
+		p.recordLostLink(address, now)
+		p.recordLostLink(address, now.Add(time.Second))
+		timeouts = append(timeouts, p.lostLinks[address].timeout/lostLinkTimeout)
+		now = now.Add(p.lostLinks[address].timeout + 2*time.Second)
+	}
+	p.recordRestoredLink(address)
+	p.recordLostLink(address, now.Add(-time.Second))
+	timeouts = append(timeouts, p.lostLinks[address].timeout/lostLinkTimeout)
+	if diff := cmp.Diff([]time.Duration{1, 2, 4, 8, 16, 16, 2}, timeouts); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // receiveGossip records gossip of another instance, whose zone is the first two
 // letters of its name.
 func (f *Fleet) receiveGossip(name model.InstanceID, state message.GossipState) {
@@ -195,7 +238,7 @@
 	f := newUnstartedFleet(1, 3)
 	f.peers.isListed = false
 	state := message.GossipState{ViewVersion: 12, Groups: nil}
-	f.applyPeerView("z1-2", clock.Now(), state)
+	f.applyPeerView("z1-2", clock.Now(), state, nil)
 	if f.Leases.View().IsMember {
 		t.Error("a member, though neither the table nor the peer lists it")
 	}
@@ -203,7 +246,7 @@
 	members["z1-1"] = member{Address: addressOf(1, 1), Zone: "z1"}
 	f.updateMembers(members, 13)
 	state.ViewVersion = 14
-	f.applyPeerView("z1-2", clock.Now(), state)
+	f.applyPeerView("z1-2", clock.Now(), state, nil)
 	if !f.Leases.View().IsMember {
 		t.Error("not a member, though the table listed it recently")
 	}
@@ -222,13 +265,13 @@
 		version++
 		f.applyPeerView("z1-2", clock.Now(), message.GossipState{
 			ViewVersion: version, MembersVersion: c.membersVersion, ReceiverIsMember: c.receiverIsMember,
-		})
+		}, nil)
 		if got := f.isMember(); got != c.want {
 			t.Errorf("%+v: a member: %v", c, got)
 		}
 	}
 	f.updateMembers(map[model.InstanceID]member{}, 20)
-	f.applyPeerView("z1-2", clock.Now(), message.GossipState{ViewVersion: 21, MembersVersion: 19, ReceiverIsMember: true})
+	f.applyPeerView("z1-2", clock.Now(), message.GossipState{ViewVersion: 21, MembersVersion: 19, ReceiverIsMember: true}, nil)
 	if f.isMember() {
 		t.Error("a member by a list that is older than the one without it")
 	}
@@ -277,9 +320,9 @@
 	f.Post(message.PeerDisconnected{Peer: "z1-3", Address: addressOf(1, 3)})
 	now := clock.Now()
 	f.peers.prune(now)
-	kept := []int{len(f.peers.known), len(f.peers.lostAt)}
+	kept := []int{len(f.peers.known), len(f.peers.lostLinks)}
 	f.peers.prune(now.Add(2*memberExpiry + time.Second))
-	kept = append(kept, len(f.peers.known), len(f.peers.lostAt))
+	kept = append(kept, len(f.peers.known), len(f.peers.lostLinks))
 	if diff := cmp.Diff([]int{2, 1, 1, 0}, kept); diff != "" {
 		t.Error(diff)
 	}
