Ping the relay of an idle transaction once a second

Each answer to a ping was followed by another ping at the next check of the link: 8 in 9 checks, where the design says one in ten. With the pings right, the silence before a statement would have counted against it: a link idle for 400 ms would have been closed at the next check, and the COMMIT that waited been lost. Pings are counted by themselves, and silence only since answers are due.

TestFrozenRelayWithTransaction shows what a COMMIT gets from a relay that is frozen: lost, long before its timeout, and the relay rolls back.

--- a/internal/edge/relay/link.go
+++ b/internal/edge/relay/link.go
@@ -141,37 +141,47 @@
 func (l *link) watch() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	silent, unused := 0, 0
+	// These count ticks: without a frame, with answers due, since the last ping, and
+	// without use.
+	silent, due, unpinged, unused := 0, 0, 0, 0
 	for {
 		select {
 		case <-l.closed:
 			return
 		case <-ticker.C:
 		}
-		l.mu.Lock()
-		isDue, hasTransactions := len(l.pending) > 0, l.transactions > 0
-		l.mu.Unlock()
-		silent++
+		isDue, hasTransactions := l.use()
+		silent, due, unpinged, unused = silent+1, due+1, unpinged+1, unused+1
 		if l.hasReceived.Swap(false) {
 			silent = 0
 		}
-		unused++
+		if !isDue {
+			due = 0
+		}
 		if isDue || hasTransactions {
 			unused = 0
 		}
 		switch {
-		case isDue && silent >= silentTicks, hasTransactions && silent >= idleSilentTicks:
+		case min(silent, due) >= silentTicks, hasTransactions && silent >= idleSilentTicks:
 			l.close(&SilentError{})
 		case unused*int(tickInterval) >= int(idleTimeout):
 			l.closeUnused()
-		case isDue, hasTransactions && silent%idlePingTicks == 0:
+		case isDue, hasTransactions && unpinged >= idlePingTicks:
 			l.outbox.push(&outgoing{content: []byte{byte(kindPing)}})
+			unpinged = 0
 		case unused > 0:
 			silent = 0
 		}
 	}
 }
 
+// use reports whether answers are due and whether transactions are open.
+func (l *link) use() (isDue, hasTransactions bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0, l.transactions > 0
+}
+
 // closeUnused closes the link unless a statement has been added in the meantime.
 func (l *link) closeUnused() {
 	l.mu.Lock()
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,6 +130,8 @@
 	// frozen is closed once nothing passes any more.
 	frozen chan struct{}
 	once   sync.Once
+	// passed counts what has passed from the caller to the relay, by reads.
+	passed atomic.Int64
 }
 
 func newPath(t *testing.T, target netip.AddrPort) *path {
@@ -153,15 +156,15 @@
 			p.mu.Lock()
 			p.conns = append(p.conns, conn, other)
 			p.mu.Unlock()
-			go p.copy(conn, other)
-			go p.copy(other, conn)
+			go p.copy(conn, other, &atomic.Int64{})
+			go p.copy(other, conn, &p.passed)
 		}
 	}()
 	t.Cleanup(p.cut)
 	return p
 }
 
-func (p *path) copy(to, from net.Conn) {
+func (p *path) copy(to, from net.Conn, passed *atomic.Int64) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -174,6 +177,7 @@
 			_ = to.Close()
 			return
 		}
+		passed.Add(1)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			_ = from.Close()
 			return
@@ -467,6 +471,47 @@
 	p.awaitOpen(0)
 }
 
+// A transaction that waits for its caller costs one ping a second, and its relay has as
+// long to answer its next statement as that of any other.
+func TestIdleTransaction(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	conn := p.begin()
+	defer conn.Close()
+	before := p.path.passed.Load()
+	time.Sleep((idlePingTicks - 1) * tickInterval)
+	if pings := p.path.passed.Load() - before; pings > 2 {
+		t.Errorf("%d pings in %d ticks", pings, idlePingTicks-1)
+	}
+	hold := make(chan struct{})
+	p.executor.set(func() { p.executor.hold = hold })
+	time.AfterFunc((silentTicks-2)*tickInterval, func() { close(hold) })
+	if got := p.commit(conn); got != "answered" {
+		t.Errorf("COMMIT %s", got)
+	}
+}
+
+// A relay that freezes with an open transaction: the next statement, which may be a COMMIT,
+// is lost long before its timeout, and the relay rolls the transaction back.
+func TestFrozenRelayWithTransaction(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	conn := p.begin()
+	defer conn.Close()
+	p.path.freeze()
+	startedAt := time.Now()
+	if got := p.commit(conn); got != "lost" {
+		t.Errorf("COMMIT %s", got)
+	}
+	if took := time.Since(startedAt); took > statementTimeout/2 {
+		t.Errorf("the outcome was known after %v", took)
+	}
+	if got := p.commit(conn); got != "not run: unreachable" {
+		t.Errorf("a second COMMIT %s", got)
+	}
+	p.awaitOpen(0)
+}
+
 // -----------------------------------------------------------------------------
 // Bounds.
 
