Count the frames that a link's writer has taken

What the writer had taken from the queue of a link and not written did not count, so that a relay that reads nothing could make its caller hold twice the bound (32 MiB). A frame counts until it is written or dropped.

TestTakenFramesAreBounded was red before. The package passed twice with -race after the change.

--- a/internal/edge/relay/outbox.go
+++ b/internal/edge/relay/outbox.go
@@ -35,7 +35,8 @@
 
 	mu     sync.Mutex
 	queued []*outgoing
-	bytes  int
+	// frames and bytes count what was queued and is not written or dropped yet.
+	frames, bytes int
 }
 
 func newOutbox() *outbox { return &outbox{wake: make(chan struct{}, 1)} }
@@ -44,10 +45,11 @@
 func (b *outbox) push(frame *outgoing) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.queued) >= maxQueuedFrames || b.bytes+len(frame.content) > maxQueuedBytes {
+	if b.frames >= maxQueuedFrames || b.bytes+len(frame.content) > maxQueuedBytes {
 		return false
 	}
 	b.queued = append(b.queued, frame)
+	b.frames++
 	b.bytes += len(frame.content)
 	select {
 	case b.wake <- struct{}{}:
@@ -56,24 +58,34 @@
 	return true
 }
 
-// take removes and returns all queued frames.
+// take removes and returns all queued frames. They count until release is called for each.
 func (b *outbox) take() []*outgoing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	queued := b.queued
-	b.queued, b.bytes = nil, 0
+	b.queued = nil
 	return queued
 }
 
+// release stops counting a frame that was taken.
+func (b *outbox) release(frame *outgoing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.frames--
+	b.bytes -= len(frame.content)
+}
+
 // write writes the queued frames to a channel until closed is closed or a write fails,
 // whose error it returns.
 func (b *outbox) write(channel *peer.Channel, closed <-chan struct{}) error {
 	for {
 		for _, frame := range b.take() {
 			if !frame.claim() {
+				b.release(frame)
 				continue
 			}
 			err := channel.Write(frame.content, writeTimeout)
+			b.release(frame)
 			if frame.written != nil {
 				frame.written()
 			}
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -560,6 +560,23 @@
 	}
 }
 
+// What the writer of a link has taken and not written counts for the bound of the queue.
+func TestTakenFramesAreBounded(t *testing.T) {
+	for _, size := range []int{0, maxContent} {
+		b := newOutbox()
+		for b.push(&outgoing{content: make([]byte, size)}) {
+		}
+		taken := b.take()
+		if b.push(&outgoing{content: make([]byte, size)}) {
+			t.Errorf("a frame of %d bytes was queued beyond the bound", size)
+		}
+		b.release(taken[0])
+		if !b.push(&outgoing{content: make([]byte, size)}) {
+			t.Errorf("a frame of %d bytes was refused below the bound", size)
+		}
+	}
+}
+
 // A statement of 1 MiB passes; one that does not fit is refused and the link stays.
 func TestLargeStatements(t *testing.T) {
 	p := newPair(t)
