Let a member that becomes a head wait before it gives tokens

When a head left, the member that took its part began at once with the tokens of a start, while instances that did not know of the change yet went on with the part of the one before it for up to six seconds. With heads of several zones changing together the tolerated bound of a window was passed. A member that becomes a head now gives nothing for 7 s, and its buckets fill at its part only from then on. A tenant at its limit has one part less for that time.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -43,6 +43,9 @@
 )
 
 const (
+	// takeoverDelay is the time for which a keeper that takes the part of another one gives
+	// no tokens: longer than instances may disagree on who the keepers are.
+	takeoverDelay = 7 * time.Second
 	// holdShare, burstShare and startShare divide the tolerance of the deployment.
 	holdShare  = 0.8
 	burstShare = 0.5
@@ -102,8 +105,12 @@
 	settings Settings
 	limits   map[model.TenantID]Limit
 	// parts is the number of keepers, or zero while this instance is not one of them.
-	parts   int
-	buckets map[model.TenantID]*bucket
+	parts int
+	// isStandby is set while it is known that this instance is no keeper: it takes the part
+	// of another one if it becomes one. beginsAt is when it gives its first tokens.
+	isStandby bool
+	beginsAt  time.Time
+	buckets   map[model.TenantID]*bucket
 }
 
 // NewKeeper returns a Keeper that has no part yet.
@@ -111,8 +118,16 @@
 	return &Keeper{settings: settings, buckets: map[model.TenantID]*bucket{}}
 }
 
+// StandBy ends the part of this instance, of which it is known that it is no keeper. If it
+// becomes one, instances may still count the keeper before it for some time.
+func (k *Keeper) StandBy(now time.Time) {
+	k.SetParts(now, 0)
+	k.isStandby = true
+}
+
 // SetParts sets the number of keepers, this one included, or zero if this instance is
-// no keeper. A keeper that begins has the tokens of a start.
+// no keeper. A keeper that begins has the tokens of a start; one that takes the part of
+// another has none, and begins after takeoverDelay.
 func (k *Keeper) SetParts(now time.Time, parts int) {
 	if parts == k.parts {
 		return
@@ -122,7 +137,12 @@
 	k.parts = parts
 	if isNew {
 		clear(k.buckets)
+		k.beginsAt = now
+		if k.isStandby {
+			k.beginsAt = now.Add(takeoverDelay)
+		}
 	}
+	k.isStandby = parts == 0
 	k.fitBuckets(now)
 }
 
@@ -158,7 +178,7 @@
 	granted = max(0, min(want, int(b.tokens)))
 	b.tokens -= float64(granted)
 	missing := max(0, 1-b.tokens)
-	return granted, time.Duration(missing / k.rate(tenant) * float64(time.Second))
+	return granted, max(0, b.asOf.Sub(now)) + time.Duration(missing/k.rate(tenant)*float64(time.Second))
 }
 
 // rate returns the rate at which the bucket of a tenant is refilled.
@@ -170,8 +190,11 @@
 	return max(1, (k.limits[tenant].Burst+burstShare*k.settings.Slack)/float64(k.parts))
 }
 
-// refill adds the tokens of the time since the bucket's last change.
+// refill adds the tokens of the time since the bucket's last change, which may be to come.
 func (k *Keeper) refill(now time.Time, tenant model.TenantID, b *bucket) {
+	if now.Before(b.asOf) {
+		return
+	}
 	b.tokens = min(b.tokens+k.rate(tenant)*now.Sub(b.asOf).Seconds(), k.capacity(tenant))
 	b.asOf = now
 }
@@ -197,6 +220,9 @@
 		b, found := k.buckets[tenant]
 		if !found {
 			b = &bucket{tokens: startShare * k.settings.Slack / float64(k.parts), asOf: now}
+			if now.Before(k.beginsAt) {
+				b = &bucket{tokens: 0, asOf: k.beginsAt}
+			}
 			k.buckets[tenant] = b
 		}
 		b.tokens = min(b.tokens, k.capacity(tenant))
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -57,6 +57,8 @@
 	f.instances[i].keeper, f.instances[i].purse = NewKeeper(settings), NewPurse()
 	if f.isHead(i) {
 		f.instances[i].keeper.SetParts(f.now, zones*headsOfZone)
+	} else {
+		f.instances[i].keeper.StandBy(f.now)
 	}
 }
 
@@ -209,6 +211,61 @@
 	}
 }
 
+// The load: a tenant far above its limit when the heads change. A member that becomes a head
+// begins while instances that do not know it yet count the one before it.
+func TestChangedHeadsStayWithinTheBound(t *testing.T) {
+	const longestOverlap = 6 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{2.4, 20, 120, 440}).Draw(t, "rate")
+		limit := Limit{Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0.5, 1, 3}).Draw(t, "burst")}
+		f := newSimFleet()
+		f.setLimit(limit)
+		next := 0
+		run := func(duration time.Duration, rate float64) {
+			f.run(duration, rate, func() int { next++; return next % len(f.instances) })
+		}
+		run(20*time.Second, 0)
+		overlap := rapid.Custom(func(t *rapid.T) time.Duration {
+			return rapid.SampledFrom([]time.Duration{0, longestOverlap / 2, longestOverlap}).Draw(t, "overlap")
+		})
+		for range rapid.IntRange(1, 3).Draw(t, "changes") {
+			var left []*Keeper
+			for zone := range rapid.IntRange(1, zones).Draw(t, "zones") {
+				first := zone * zoneSize
+				head := f.instances[first+rapid.IntRange(0, headsOfZone-1).Draw(t, "head")].keeper
+				heir := f.instances[first+rapid.IntRange(headsOfZone, zoneSize-1).Draw(t, "heir")].keeper
+				if head.Parts() > 0 && heir.Parts() == 0 {
+					heir.SetParts(f.now, zones*headsOfZone)
+					left = append(left, head)
+				}
+			}
+			run(overlap.Draw(t, "overlap"), 4*rate+50)
+			for _, head := range left {
+				head.StandBy(f.now)
+			}
+			run(time.Duration(rapid.IntRange(0, 9000).Draw(t, "pause"))*time.Millisecond, 4*rate+50)
+		}
+		f.checkWindows(t, settings.Bound(limit))
+	})
+}
+
+// The part of a head that has left is in use again some time after its heir has begun.
+func TestHeirTakesOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	heir := NewKeeper(settings)
+	heir.SetLimits(now, map[model.TenantID]Limit{tenant: {Rate: 90, Burst: 90}})
+	heir.StandBy(now)
+	heir.SetParts(now, 9)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {takeoverDelay - 1, 0}, {takeoverDelay + time.Second/2, 5}, {takeoverDelay + time.Minute, 11}} {
+		if granted, _ := heir.Take(now.Add(c.after), tenant, 100); granted != c.want {
+			t.Errorf("%d tokens after %v, want %d", granted, c.after, c.want)
+		}
+	}
+}
+
 func TestTokensLapse(t *testing.T) {
 	now, purse := time.Unix(1000, 0), NewPurse()
 	purse.Add(tenant, 2, now.Add(settings.HoldTime()))
--- a/internal/node/fleet/limits_keeper.go
+++ b/internal/node/fleet/limits_keeper.go
@@ -43,7 +43,7 @@
 	if !isKeeper {
 		parts = 0
 	}
-	f.setKeepers(now, found, parts)
+	f.setKeepers(now, found, parts, len(names) > 0)
 }
 
 // keeperNames returns the names of the keepers by availability zone. There are none until
@@ -76,12 +76,17 @@
 }
 
 // setKeepers records the heads, and the number of parts if this instance is a keeper.
-func (f *Fleet) setKeepers(now time.Time, found heads, parts int) {
+// areKnown is set if it is known who the keepers are.
+func (f *Fleet) setKeepers(now time.Time, found heads, parts int, areKnown bool) {
 	l := f.limits
 	l.mu.Lock()
 	l.heads = found
 	before := l.keeper.Parts()
-	l.keeper.SetParts(now, parts)
+	if areKnown && parts == 0 {
+		l.keeper.StandBy(now)
+	} else {
+		l.keeper.SetParts(now, parts)
+	}
 	l.forgetRequests(now)
 	l.mu.Unlock()
 	if before != parts {
