--- a/internal/edge/session/relayed_test.go
+++ b/internal/edge/session/relayed_test.go
@@ -152,24 +152,24 @@
 	begin, commit := statement.Begin{}, statement.Commit{}
 	busy, unknown, aborted := statement.CodeBusy.String(), statement.CodeOutcomeUnknown.String(), statement.CodeAborted.String()
 	for name, c := range map[string]struct {
-		executor   scriptedExecutor
+		executor   *scriptedExecutor
 		statements []statement.Statement
 		want       []string
 		wantRan    int
 	}{
-		"no way":               {scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoWay}}, []statement.Statement{write, read}, []string{busy + ", returns", busy + ", returns"}, 0},
-		"not the primary":      {scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNotPrimary}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
-		"no room":              {scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoRoom}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
-		"rejected":             {scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonRejected, ExpectedWait: time.Second}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
-		"a lost write":         {scriptedExecutor{lostAt: 1}, []statement.Statement{write, write}, []string{unknown, "ok"}, 2},
-		"a lost first write":   {scriptedExecutor{lostAt: 1}, []statement.Statement{begin, write, commit}, []string{"ok", aborted, aborted}, 1},
-		"a lost COMMIT":        {scriptedExecutor{lostAt: 2}, []statement.Statement{begin, write, commit, write}, []string{"ok", "ok", unknown, "ok"}, 3},
-		"a lost reading one":   {scriptedExecutor{lostAt: 2}, []statement.Statement{begin, read, commit}, []string{"ok", "ok", aborted}, 2},
-		"a refused first read": {scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoWay}}, []statement.Statement{begin, read}, []string{"ok", busy + ", returns"}, 0},
+		"no way":               {&scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoWay}}, []statement.Statement{write, read}, []string{busy + ", returns", busy + ", returns"}, 0},
+		"not the primary":      {&scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNotPrimary}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
+		"no room":              {&scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoRoom}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
+		"rejected":             {&scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonRejected, ExpectedWait: time.Second}}, []statement.Statement{write}, []string{busy + ", returns"}, 0},
+		"a lost write":         {&scriptedExecutor{lostAt: 1}, []statement.Statement{write, write}, []string{unknown, "ok"}, 2},
+		"a lost first write":   {&scriptedExecutor{lostAt: 1}, []statement.Statement{begin, write, commit}, []string{"ok", aborted, aborted}, 1},
+		"a lost COMMIT":        {&scriptedExecutor{lostAt: 2}, []statement.Statement{begin, write, commit, write}, []string{"ok", "ok", unknown, "ok"}, 3},
+		"a lost reading one":   {&scriptedExecutor{lostAt: 2}, []statement.Statement{begin, read, commit}, []string{"ok", "ok", aborted}, 2},
+		"a refused first read": {&scriptedExecutor{refusal: &relay.RefusalError{Reason: relay.ReasonNoWay}}, []statement.Statement{begin, read}, []string{"ok", busy + ", returns"}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s, _ := newRelayedSession(t, &c.executor)
+			s, _ := newRelayedSession(t, c.executor)
 			if diff := cmp.Diff(c.want, s.outcomes(t, c.statements...)); diff != "" {
 				t.Error(diff)
 			}
