--- a/internal/node/fleet/limits_keeper.go
+++ b/internal/node/fleet/limits_keeper.go
@@ -24,6 +24,8 @@
 	}
 	f.peers.mu.Lock()
 	names, alive := f.keeperNames(), f.peers.liveStartIDs(now)
+	isStandby := f.peers.hasJoinedHeads
+	f.peers.hasJoinedHeads = false
 	f.peers.mu.Unlock()
 	parts, isKeeper, found := 0, false, heads{}
 	for zone, zoneNames := range names {
@@ -43,7 +45,7 @@
 	if !isKeeper {
 		parts = 0
 	}
-	f.setKeepers(now, found, parts, len(names) > 0)
+	f.setKeepers(now, found, parts, isStandby || len(names) > 0 && !isKeeper)
 }
 
 // keeperNames returns the names of the keepers by availability zone. There are none until
@@ -76,17 +78,16 @@
 }
 
 // setKeepers records the heads, and the number of parts if this instance is a keeper.
-// areKnown is set if it is known who the keepers are.
-func (f *Fleet) setKeepers(now time.Time, found heads, parts int, areKnown bool) {
+// isStandby is set if the keepers do not include it, or did not when it joined.
+func (f *Fleet) setKeepers(now time.Time, found heads, parts int, isStandby bool) {
 	l := f.limits
 	l.mu.Lock()
 	l.heads = found
 	before := l.keeper.Parts()
-	if areKnown && parts == 0 {
+	if isStandby {
 		l.keeper.StandBy(now)
-	} else {
-		l.keeper.SetParts(now, parts)
 	}
+	l.keeper.SetParts(now, parts)
 	l.forgetRequests(now)
 	l.mu.Unlock()
 	if before != parts {
--- a/internal/node/fleet/limits_test.go
+++ b/internal/node/fleet/limits_test.go
@@ -6,11 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/quota"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/route"
+	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
 
 // limitedFleets are fleets with a limit of the tenant "club" and the operations that they
@@ -141,3 +144,46 @@
 		}
 	}
 }
+
+// A member that joins an availability zone with three heads, and is one by its name, waits
+// until no instance counts the head before it. One that is back begins at once: its part was
+// not given to others.
+func TestJoiningHeadWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		others   int
+		isListed bool
+		want     bool
+	}{
+		"joins three heads":             {headsPerZone, false, true},
+		"joins two heads":               {headsPerZone - 1, false, false},
+		"was listed before it started":  {headsPerZone, true, false},
+		"begins with all other members": {0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := New(Options{
+				StartID: "a-1", InstanceName: "a", Zone: "lanier", Tolerance: quota.Settings{Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+				Log: eventlog.NewWriter(logr.Discard(), eventlog.DefaultLinesPerSecond),
+			})
+			f.limits.replace(clock.Now(), map[model.TenantID]route.Tenant{"club": {Rate: 90, Burst: 90}})
+			read := func(isListed bool, version uint64) {
+				members := map[model.InstanceID]member{"z": {Zone: "sierra"}}
+				for i := range c.others {
+					members[model.InstanceID(fmt.Sprint("b", i))] = member{Zone: "lanier"}
+				}
+				if isListed {
+					members["a"] = member{Zone: "lanier"}
+				}
+				f.updateMembers(members, version)
+				f.updateKeepers(clock.Now())
+			}
+			read(c.isListed, 1)
+			read(true, 2)
+			f.limits.mu.Lock()
+			defer f.limits.mu.Unlock()
+			granted, _ := f.limits.keeper.Take(clock.Now(), "club", 1)
+			if diff := cmp.Diff([]any{true, c.want}, []any{f.limits.keeper.Parts() > 0, granted == 0}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/node/fleet/peers.go
+++ b/internal/node/fleet/peers.go
@@ -63,6 +63,9 @@
 	membersVersion uint64
 	membersReadAt  time.Time
 	isListed       bool
+	// hasJoinedHeads is set until updateKeepers has used it if the first list that was read
+	// had all heads of the own availability zone and not this instance.
+	hasJoinedHeads bool
 	// lostLinks holds the addresses to which a link was lost or could not be made.
 	lostLinks map[netip.AddrPort]lostLink
 	// viewRequestedAt is when a view was last requested from a peer.
--- a/internal/node/fleet/peers_member.go
+++ b/internal/node/fleet/peers_member.go
@@ -156,6 +156,15 @@
 	delete(members, f.options.InstanceName)
 	f.peers.mu.Lock()
 	defer f.peers.mu.Unlock()
+	if f.peers.membersReadAt.IsZero() && !isListed {
+		inZone := 0
+		for _, m := range members {
+			if m.Zone == f.options.Zone {
+				inZone++
+			}
+		}
+		f.peers.hasJoinedHeads = inZone >= headsPerZone
+	}
 	if version > f.peers.membersVersion {
 		f.peers.members, f.peers.membersVersion = members, version
 	}
