Decide by measured waits which reads leave their zone

A read left its availability zone when a database elsewhere was cheaper by a fixed 12 ms, each read for itself: nothing kept two full zones from swapping their reads, a zone that came back got all reads at once, and nothing told an operator how much leaves and why.

internal/core/zone now decides for each group, on each instance, from what it has measured: the wait here, its queue included, less the wait there, path included, against a price. The share of reads that leave moves by tenths, with a gap between leaving and returning and a pause after each turn, and only while the databases there have room; urgent ranks leave first. A zone whose databases are lost, or are too old for a read, is left at once, and reads return by steps. Where reads are rare a few leave at once if each saves the price.

Without it the fixed cost decides as before.

TestHeldReadIsNotRejected failed before reads that wait for their zone were left out of the estimate of waits.

TestReadsAfterSlowFirstAnswers and the start of the process in the tests of platform pass an argument of the new signatures; what they check is unchanged.

--- a/internal/command/proxy/verb_serve.go
+++ b/internal/command/proxy/verb_serve.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/config/settings"
 	"github.com/eelgrassfold/eelgrassfold/internal/node/serve"
@@ -26,14 +27,18 @@
 }
 
 type serveCommand struct {
-	Settings string `required:"" xor:"from" placeholder:"FILE" help:"The settings of this instance."`
-	Platform bool   `required:"" xor:"from" help:"Run on the users' platform, by the settings file that it provides."`
+	Settings string        `required:"" xor:"from" placeholder:"FILE" help:"The settings of this instance."`
+	Platform bool          `required:"" xor:"from" help:"Run on the users' platform, by the settings file that it provides."`
+	Leave    time.Duration `placeholder:"TIME" help:"On the platform: the wait that a read has to save to leave its availability zone; the share that leaves follows the measured waits. Without it, a fixed cost of 12ms decides about each read."`
 }
 
 // Run reads the settings and runs the instance until it ends.
 func (c *serveCommand) Run(console *Console) error {
 	if c.Platform {
-		return platform.Serve(console.Context, console.Out)
+		if c.Leave < 0 {
+			return &UsageError{Reason: "the time to leave a zone must not be negative, but is " + c.Leave.String()}
+		}
+		return platform.Serve(console.Context, console.Out, c.Leave)
 	}
 	parsed, err := c.readSettings(console)
 	if err != nil {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -16,10 +16,6 @@
 	// extraUrgentStatements is the number of statements that the most urgent rank may
 	// have in flight beyond that.
 	extraUrgentStatements = 1
-	// crossZoneCost is added to the cost of a database in another availability zone:
-	// half the time of a typical statement, since the bytes between zones have a cost
-	// besides the latency.
-	crossZoneCost = 12 * time.Millisecond
 	// primaryCostFactor multiplies the cost of the primary for reads that a replica
 	// can serve, since only the primary's slots can serve writes.
 	primaryCostFactor = 4
@@ -41,7 +37,8 @@
 // choose returns a reservation that meets the requirements. Its databaseState is nil
 // if no database is eligible or has capacity. If hasGrant is false, the group has no
 // primary.
-func (s *Scheduler) choose(now time.Time, g *group, requirements *Requirements, grant lease.Grant, hasGrant bool) Reservation {
+func (s *Scheduler) choose(now time.Time, g *group, w *waiter, grant lease.Grant, hasGrant bool) Reservation {
+	requirements := &w.requirements
 	if requirements.Database != "" {
 		return s.chooseNamed(now, g, requirements, grant, hasGrant)
 	}
@@ -59,7 +56,7 @@
 		return Reservation{Database: db.Database, IsPrimary: true, Grant: grant, databaseState: db}
 	}
 	minPosition, minPositionAsOf, hasSample := requirements.minReplicaPosition()
-	best := s.chooseReader(now, g, requirements, grant, hasGrant, minPosition, minPositionAsOf, hasSample)
+	best := s.chooseReader(now, g, w, grant, hasGrant, minPosition, minPositionAsOf, hasSample)
 	if best == nil {
 		return Reservation{}
 	}
@@ -73,37 +70,6 @@
 	return reservation
 }
 
-// chooseReader returns the database with the lowest cost for a read, or nil if there
-// is none. Databases that are leaving, unresponsive, without capacity or excluded by
-// the requirements are passed over, and so are replicas that have probably not reached
-// minPosition (see hasProbablyReached). If hasSample is false, only the primary may
-// serve the read.
-func (s *Scheduler) chooseReader(
-	now time.Time, g *group, requirements *Requirements, grant lease.Grant, hasGrant bool,
-	minPosition model.Position, minPositionAsOf time.Time, hasSample bool,
-) *databaseState {
-	var best *databaseState
-	var lowestCost time.Duration
-	for _, db := range g.databases {
-		isPrimary := hasGrant && db.ID == grant.Primary
-		isRelayed := s.isRelayed(db, requirements)
-		if !s.isReader(now, db, requirements) || !isRelayed && !s.hasCapacity(now, g, db, requirements.Rank) {
-			continue
-		}
-		if !isPrimary && (!hasSample || !db.hasProbablyReached(now, minPosition, minPositionAsOf)) {
-			continue
-		}
-		cost := s.cost(now, db, isPrimary, requirements.Tenant)
-		if isRelayed {
-			cost += relayCost
-		}
-		if best == nil || cost < lowestCost {
-			best, lowestCost = db, cost
-		}
-	}
-	return best
-}
-
 // isReader reports whether a database may get reads with the given requirements, apart
 // from its capacity and position.
 func (s *Scheduler) isReader(now time.Time, db *databaseState, requirements *Requirements) bool {
@@ -116,7 +82,12 @@
 	if !isPrimary && db.isExplored() {
 		latency = 0
 	}
-	cost := (latency + time.Millisecond) * time.Duration(1+db.inFlight)
+	return s.costOf((latency+time.Millisecond)*time.Duration(1+db.inFlight), db, isPrimary, tenant)
+}
+
+// costOf returns the cost of a read that takes the given time at a database.
+func (s *Scheduler) costOf(elapsed time.Duration, db *databaseState, isPrimary bool, tenant model.TenantID) time.Duration {
+	cost := elapsed
 	switch {
 	case isPrimary && db.KeepsConnection:
 		cost *= keptPrimaryCostFactor
@@ -126,9 +97,6 @@
 	if s.needsConnecting(db, tenant) {
 		cost += connectCost
 	}
-	if db.Zone != s.zone {
-		cost += crossZoneCost
-	}
 	return cost
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -37,6 +37,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/outage"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/zone"
 )
 
 // Database is one database's entry in the directory.
@@ -144,6 +145,8 @@
 	instances int
 	// durations is what the steps of an outage take here, for all groups.
 	durations *outage.Durations
+	// zoneOptions are the terms on which reads leave the zone.
+	zoneOptions ZoneOptions
 	// relays is the policy for relayed statements; nil if there is none.
 	relays RelayPolicy
 	// connections tells which connections are idle; nil if that is not known.
@@ -167,6 +170,8 @@
 	usage usage
 	// outage follows the group's primary.
 	outage outage.Tracker
+	// zone decides which reads leave the zone.
+	zone zone.Decider
 	// passedOver is the most urgent rank with a waiter that got no reservation in the
 	// present pass over the queue.
 	passedOver model.Rank
@@ -184,6 +189,10 @@
 	expectedWait time.Duration
 	// hadByTenant is what the tenant will have had when this waiter is next.
 	hadByTenant float64
+	// readSince is when the waiter was first considered as a read; zero for others. isHeld
+	// is true while it waits for its zone although another has room.
+	readSince time.Time
+	isHeld    bool
 	// decided receives the decision; its buffer holds one, so that the sender never
 	// blocks.
 	decided chan decision
@@ -216,9 +225,9 @@
 }
 
 // NewScheduler returns a scheduler without databases.
-func NewScheduler(zone model.ZoneID, leases *lease.Table) *Scheduler {
+func NewScheduler(home model.ZoneID, leases *lease.Table) *Scheduler {
 	return &Scheduler{
-		zone: zone, leases: leases, instances: 1,
+		zone: home, leases: leases, instances: 1,
 		groups: map[model.GroupID]*group{}, byID: map[model.DatabaseID]*databaseState{},
 		durations: outage.NewDurations(),
 	}
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -163,7 +163,7 @@
 	stillWaiting := g.waiting[:0]
 	g.passedOver = noRank
 	for _, w := range g.waiting {
-		reservation := s.choose(now, g, &w.requirements, grant, hasGrant)
+		reservation := s.choose(now, g, w, grant, hasGrant)
 		if reservation.IsRelayed {
 			w.decided <- decision{reservation: reservation}
 			continue
@@ -177,10 +177,11 @@
 			if g.usage != nil {
 				g.usage.record(now, w.requirements.Tenant)
 			}
+			s.recordSentOutside(g, db, &w.requirements)
 			w.decided <- decision{reservation: reservation}
 			continue
 		}
-		if s.rejectInOutage(&estimator, w, grant) || estimator.rejectOrDelay(w, s.needsPrimary(now, g, &w.requirements, grant)) {
+		if !w.isHeld && (s.rejectInOutage(&estimator, w, grant) || estimator.rejectOrDelay(w, s.needsPrimary(now, g, &w.requirements, grant))) {
 			w.decided <- decision{rejected: true, expectedWait: w.expectedWait, stage: g.outage.Stage()}
 			continue
 		}
@@ -236,8 +237,10 @@
 			earliest = until
 		}
 	}
-	if check := s.nextOutageCheck(now, g); !check.IsZero() && (earliest.IsZero() || check.Before(earliest)) {
-		earliest = check
+	for _, check := range []time.Time{s.nextOutageCheck(now, g), s.nextZoneCheck(now, g)} {
+		if !check.IsZero() && (earliest.IsZero() || check.Before(earliest)) {
+			earliest = check
+		}
 	}
 	if earliest.IsZero() || !g.wakeAt.IsZero() && !g.wakeAt.After(earliest) {
 		return
--- a/internal/core/placement/state_test.go
+++ b/internal/core/placement/state_test.go
@@ -55,7 +55,7 @@
 			now, reads := clock.Now(), map[model.DatabaseID]int{}
 			send := func() *databaseState {
 				requirements := readRequirements(0)
-				db := s.chooseReader(now, s.groups[ratings], &requirements, lease.Grant{Primary: "a"}, true, newestPosition, now, true)
+				db := s.chooseReader(now, s.groups[ratings], &waiter{requirements: requirements}, lease.Grant{Primary: "a"}, true, newestPosition, now, true)
 				reads[db.ID]++
 				db.inFlight++
 				return db
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -114,6 +114,9 @@
 	RelayKey  []byte
 	// Tolerance is the tolerance of the limits of tenants.
 	Tolerance quota.Settings
+	// ZonePrice is the time that a read has to save to leave its availability zone;
+	// zero means that a fixed cost decides.
+	ZonePrice time.Duration
 	Log       *eventlog.Writer
 }
 
@@ -187,6 +190,7 @@
 		samples:      map[model.GroupID]*fresh.PositionSamples{},
 	}
 	f.Scheduler.SetRelayPolicy(f)
+	f.Scheduler.SetZoneOptions(f.zoneOptions())
 	return f
 }
 
--- a/internal/report/event/event_route.go
+++ b/internal/report/event/event_route.go
@@ -45,9 +45,15 @@
 		Text:   "A database is draining; it receives no new requests.",
 		Fields: []string{"group", "database", "source"},
 	}
+	ZoneShareChanged = Event{
+		Number: 208, Name: "zone-share-changed", Level: LevelInfo,
+		Text: "Another share of a group's reads leaves the availability zone of this instance. The fields give the " +
+			"expected waits in this zone, its queue included, and in the others, and the extra time of the path there.",
+		Fields: []string{"group", "zone", "before", "after", "here", "queue", "there", "extra"},
+	}
 )
 
 var routeEvents = []Event{
 	ReadRouted, WriteRouted, ReadBehind, RequestRefused, RequestRetried,
-	DatabaseUnreachable, DatabaseReachable, DatabaseLeaving,
+	DatabaseUnreachable, DatabaseReachable, DatabaseLeaving, ZoneShareChanged,
 }
