--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -23,7 +23,9 @@
 //
 // # How it is laid out
 //
-//	server.go       listening, closing and draining sessions
+//	server.go       listening, and the requests of a session
+//	stage.go        closing and draining sessions
+//	admission.go    routes, and keys of tenants
 //	admission.go    refusals, and keys that are taken away
 //	session.go      one session: its state, and the dispatch of statements
 //	single.go       statements outside transactions
