Gather the statements of tenants at one instance per database

A connection serves one tenant, so that instances opened a connection for most statements. Each database now has an owner and an heir, by rendezvous hashing; the other instances relay to it.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -33,6 +33,9 @@
 	// where there are fewer connections than instances: one in addition to one that
 	// is held by a transaction.
 	scarceConnectionShare = 2
+	// ownedConnectionShare is the part of a database's connections that an owner may use.
+	// The rest is for its heir while those of an owner that was lost are still counted.
+	ownedConnectionShare = 2.0 / 3
 	// controlConnections is the number of connections of a database that are
 	// reserved for the control requests of all instances.
 	controlConnections = 1
@@ -51,7 +54,7 @@
 		}
 		db := s.byID[grant.Primary]
 		if db != nil && db.Group == g.name && s.isRelayed(db, requirements) {
-			return Reservation{Database: db.Database, IsPrimary: true, Grant: grant, IsRelayed: true}
+			return Reservation{Database: db.Database, IsPrimary: true, Grant: grant, IsRelayed: true, databaseState: db}
 		}
 		if db == nil || db.Group != g.name || !s.hasCapacity(now, g, db, requirements.Rank) || db.isUnresponsive(now) && db.inFlight > 0 {
 			return Reservation{}
@@ -67,9 +70,7 @@
 		Database: best.Database, IsPrimary: hasGrant && best.ID == grant.Primary, Grant: grant,
 		MinPosition: minPosition, MinPositionAsOf: minPositionAsOf, databaseState: best,
 	}
-	if s.isRelayed(best, requirements) {
-		reservation.IsRelayed, reservation.databaseState = true, nil
-	}
+	reservation.IsRelayed = s.isRelayed(best, requirements)
 	return reservation
 }
 
@@ -166,6 +167,9 @@
 // connectionShare returns how many connections of a database this instance may
 // use.
 func (s *Scheduler) connectionShare(db *databaseState) int {
+	if db.IsOwned {
+		return max(1, int(ownedConnectionShare*float64(db.MaxConnections-controlConnections)))
+	}
 	if db.HasScarceConnections {
 		return scarceConnectionShare
 	}
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -34,7 +34,7 @@
 	byGroup := map[model.GroupID][]*Database{}
 	for i := range databases {
 		db := &databases[i]
-		db.HasScarceConnections = db.MaxConnections-controlConnections < population.Instances
+		db.HasScarceConnections = !db.IsOwned && db.MaxConnections-controlConnections < population.Instances
 		byGroup[db.Group] = append(byGroup[db.Group], db)
 	}
 	for _, group := range byGroup {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -60,6 +60,9 @@
 	// many connections this instance may then have open, idle ones included.
 	HasTenants      bool
 	ConnectionShare int
+	// IsOwned is true if this instance runs the statements of all instances at the
+	// database, or does so when its first owner is lost.
+	IsOwned bool
 	// Leaving is true if the database is draining: it gets no new statements, unless it
 	// is the primary and has not been replaced yet.
 	Leaving bool
@@ -95,6 +98,9 @@
 	// MinPosition as it is: a peer that has passed the statement to this instance has
 	// chosen both. Such a statement is never relayed further.
 	Database model.DatabaseID
+	// AvoidsRelays is true if no relay has run the statement: this instance runs it with
+	// a connection of its own.
+	AvoidsRelays bool
 }
 
 // Reservation is one connection of a database and one statement in flight to it.
@@ -109,8 +115,8 @@
 	MinPosition     model.Position
 	MinPositionAsOf time.Time
 	// IsRelayed is true if the statement passes through a peer. The reservation then
-	// holds no connection and no slot here: the peer's own scheduler reserves both. What
-	// becomes of the statement is not counted for or against the database.
+	// holds no connection and no slot here: the peer's own scheduler reserves both. Its
+	// answer is no evidence about whether this instance reaches the database.
 	IsRelayed     bool
 	databaseState *databaseState
 }
@@ -245,13 +251,20 @@
 		g.databases = nil
 	}
 	for _, d := range databases {
+		sharedBy := s.instances
+		if d.IsOwned {
+			sharedBy = 1
+		}
 		db, found := previous[d.ID]
 		if !found || db.Incarnation != d.Incarnation {
 			db = &databaseState{}
 		}
+		if db.IsOwned != d.IsOwned {
+			db.limit.value = 0
+		}
 		db.Database = d
 		db.HasTenants, db.ConnectionShare = population.HasTenants, s.connectionShare(db)
-		db.limit.resize(d.Slots, s.instances)
+		db.limit.resize(d.Slots, sharedBy)
 		s.byID[d.ID] = db
 		g := s.group(d.Group)
 		g.setTenants(population.HasTenants)
@@ -467,12 +480,13 @@
 
 // FinishStatement records the result of a statement.
 func (s *Scheduler) FinishStatement(reservation Reservation, result Result) {
-	if reservation.IsRelayed {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db, now := reservation.databaseState, clock.Now()
+	if reservation.IsRelayed {
+		db.recordRelayed(now, result)
+		return
+	}
 	db.inFlight--
 	db.recordResult(now, result)
 	switch result.Outcome {
--- a/internal/core/placement/relayed.go
+++ b/internal/core/placement/relayed.go
@@ -33,7 +33,7 @@
 // isRelayed reports whether a statement with the given requirements passes to a
 // database through a peer. One that a peer has passed to this instance does not.
 func (s *Scheduler) isRelayed(db *databaseState, requirements *Requirements) bool {
-	return s.relays != nil && requirements.Database == "" && s.relays.IsRelayed(db.Database, requirements.Tenant)
+	return s.relays != nil && requirements.Database == "" && !requirements.AvoidsRelays && s.relays.IsRelayed(db.Database, requirements.Tenant)
 }
 
 // DatabaseOf returns a database's entry in the directory.
@@ -47,6 +47,23 @@
 	return db.Database, true
 }
 
+// recordRelayed updates what reads are placed by with the result of a relayed statement.
+// Whether the database answers this instance is not known from it.
+func (db *databaseState) recordRelayed(now time.Time, result Result) {
+	switch result.Outcome {
+	case OutcomeAnswered, OutcomeWritten:
+		db.recordLatency(now, result.Elapsed)
+		db.lag -= time.Duration(float64(db.lag) * lagReduction)
+	case OutcomeBehind:
+		db.lag = max(db.lagEstimate(now), result.Lag) + time.Millisecond
+		db.behindAt = now
+	case OutcomeBusy:
+		db.recordLatency(now, max(result.Elapsed, 2*db.latency))
+	case OutcomeNotPrimary, OutcomeConnectionLimit, OutcomeUnreachable, OutcomeConnectionLost, OutcomeNotSent:
+	}
+	db.applied = db.applied.Max(result.Position)
+}
+
 // chooseNamed returns a reservation at the database that the requirements name, for a
 // statement of a peer. The peer has chosen the database and the minimum position.
 func (s *Scheduler) chooseNamed(now time.Time, g *group, requirements *Requirements, grant lease.Grant, hasGrant bool) Reservation {
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -15,7 +15,7 @@
 //
 //	chooser := relay.NewChooser(instanceName, zone)
 //	for _, candidate := range chooser.Order(now, database, candidates) { ... }
-//	chooser.RecordFailure(now, candidate.Address)
+//	chooser.RecordFailure(now, candidate.Address, database)
 package relay
 
 import (
@@ -60,7 +60,13 @@
 	zone model.ZoneID
 
 	mu       sync.Mutex
-	failures map[netip.AddrPort]failure
+	failures map[way]failure
+}
+
+// way is a relay, or what it does for one database if that is set.
+type way struct {
+	address  netip.AddrPort
+	database model.DatabaseID
 }
 
 // failure is what is known of a relay that has failed.
@@ -71,7 +77,7 @@
 
 // NewChooser returns a chooser for the instance of the given name and availability zone.
 func NewChooser(self model.InstanceID, zone model.ZoneID) *Chooser {
-	return &Chooser{self: self, zone: zone, failures: map[netip.AddrPort]failure{}}
+	return &Chooser{self: self, zone: zone, failures: map[way]failure{}}
 }
 
 // Order returns the candidates that may run a statement at a database, in the order in
@@ -81,7 +87,7 @@
 // many statements outstanding goes behind the others.
 func (c *Chooser) Order(now time.Time, database model.DatabaseID, candidates []Candidate) []Candidate {
 	usable := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
-		return candidate.Instance == c.self || candidate.IsLeaving || !candidate.ReachesDatabase || !c.IsUsable(now, candidate.Address)
+		return candidate.Instance == c.self || candidate.IsLeaving || !candidate.ReachesDatabase || !c.IsUsable(now, candidate.Address, database)
 	})
 	if isLocal := func(candidate Candidate) bool { return candidate.Zone == c.zone }; slices.ContainsFunc(usable, isLocal) {
 		usable = slices.DeleteFunc(usable, func(candidate Candidate) bool { return !isLocal(candidate) })
@@ -99,20 +105,20 @@
 	return usable
 }
 
-// IsUsable reports whether a relay may be chosen as far as its failures are concerned.
-// It is for callers that have an order of their own.
-func (c *Chooser) IsUsable(now time.Time, address netip.AddrPort) bool {
+// IsUsable reports whether a relay may be chosen for a database as far as its failures
+// are concerned. It is for callers that have an order of their own.
+func (c *Chooser) IsUsable(now time.Time, address netip.AddrPort, database model.DatabaseID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !now.Before(c.failures[address].until)
+	return !now.Before(c.failures[way{address: address}].until) && !now.Before(c.failures[way{address, database}].until)
 }
 
 // RecordFailure records that a relay was lost, refused to be one or could not be
-// reached.
-func (c *Chooser) RecordFailure(now time.Time, address netip.AddrPort) {
+// reached. If database is empty, it can't be used for any.
+func (c *Chooser) RecordFailure(now time.Time, address netip.AddrPort, database model.DatabaseID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f := c.failures[address]
+	f := c.failures[way{address, database}]
 	if now.Before(f.until) {
 		// Statements that fail together are one failure.
 		return
@@ -120,12 +126,13 @@
 	const doublings = 4
 	f.until = now.Add(min(initialBackoff<<min(f.count, doublings), maxBackoff))
 	f.count++
-	c.failures[address] = f
+	c.failures[way{address, database}] = f
 }
 
-// RecordAnswer records that a relay has run a statement.
-func (c *Chooser) RecordAnswer(address netip.AddrPort) {
+// RecordAnswer records that a relay has run a statement at a database.
+func (c *Chooser) RecordAnswer(address netip.AddrPort, database model.DatabaseID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.failures, address)
+	delete(c.failures, way{address: address})
+	delete(c.failures, way{address, database})
 }
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -79,8 +79,8 @@
 	}
 	preferred := order(start)[0]
 	other := order(start)[1]
-	chooser.RecordFailure(start, addressOf(preferred))
-	chooser.RecordFailure(start, addressOf(preferred))
+	chooser.RecordFailure(start, addressOf(preferred), "")
+	chooser.RecordFailure(start, addressOf(preferred), "")
 	if diff := cmp.Diff([]model.InstanceID{other}, order(start.Add(initialBackoff-1))); diff != "" {
 		t.Error(diff)
 	}
@@ -88,11 +88,11 @@
 	if diff := cmp.Diff([]model.InstanceID{preferred, other}, order(again)); diff != "" {
 		t.Error(diff)
 	}
-	chooser.RecordFailure(again, addressOf(preferred))
+	chooser.RecordFailure(again, addressOf(preferred), "")
 	if got := order(again.Add(2*initialBackoff - 1)); len(got) != 1 {
 		t.Errorf("relays after the second failure: %v", got)
 	}
-	chooser.RecordAnswer(addressOf(preferred))
+	chooser.RecordAnswer(addressOf(preferred), "")
 	if got := order(again); len(got) != 2 {
 		t.Errorf("relays after an answer: %v", got)
 	}
--- a/internal/edge/relay/client.go
+++ b/internal/edge/relay/client.go
@@ -88,7 +88,7 @@
 	})
 	if err != nil {
 		counters.Add("asked.refused", 1)
-		c.options.Chooser.RecordFailure(clock.Now(), address)
+		c.options.Chooser.RecordFailure(clock.Now(), address, database.ID)
 		return time.Time{}, err
 	}
 	counters.Add("asked.answered", 1)
@@ -144,7 +144,7 @@
 	counters.Add("links.lost", 1)
 	c.logEvent(event.RelayLost, event.F("relay", l.address.String()), event.F("why", reason.Error()),
 		event.F("unsent", unsent), event.F("lost", lost))
-	c.options.Chooser.RecordFailure(clock.Now(), l.address)
+	c.options.Chooser.RecordFailure(clock.Now(), l.address, "")
 }
 
 func (c *Client) logEvent(e event.Event, fields ...event.Field) {
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -26,8 +26,14 @@
 	// outside any.
 	link        *link
 	transaction uint64
+	// isDatabaseFailure is true if the relay has not got an answer from the database.
+	isDatabaseFailure bool
 }
 
+// IsDatabaseFailure reports whether the last statement failed because the relay has not got
+// an answer from the database, rather than because of the relay itself.
+func (c *Conn) IsDatabaseFailure() bool { return c.isDatabaseFailure }
+
 // Relay returns the address of the relay.
 func (c *Conn) Relay() netip.AddrPort { return c.relay }
 
@@ -46,7 +52,7 @@
 // transaction back that was open.
 func (c *Conn) RunIn(ctx context.Context, timeout time.Duration, state backend.SessionState, request statement.Request) (*backend.Reply, error) {
 	startedAt := clock.Now()
-	c.state = state
+	c.state, c.isDatabaseFailure = state, false
 	answer, err := c.exchange(ctx, timeout, request)
 	outcome, text := "answered", ""
 	var notRun *NotRunError
@@ -55,15 +61,20 @@
 	case errors.As(err, &notRun):
 		outcome = notRun.Reason.String()
 		if notRun.Reason.isFailure() {
-			c.client.options.Chooser.RecordFailure(clock.Now(), c.relay)
+			c.client.options.Chooser.RecordFailure(clock.Now(), c.relay, "")
+		}
+		c.isDatabaseFailure = notRun.Reason == ReasonNoWay
+		if notRun.Reason.isFailureOfDatabase() {
+			c.client.options.Chooser.RecordFailure(clock.Now(), c.relay, c.reservation.Database.ID)
 		}
 	case errors.As(err, &lost):
 		outcome = "lost"
+		c.isDatabaseFailure = lost.IsRelayFailure
 		if lost.IsRelayFailure {
-			c.client.options.Chooser.RecordFailure(clock.Now(), c.relay)
+			c.client.options.Chooser.RecordFailure(clock.Now(), c.relay, c.reservation.Database.ID)
 		}
 	default:
-		c.client.options.Chooser.RecordAnswer(c.relay)
+		c.client.options.Chooser.RecordAnswer(c.relay, c.reservation.Database.ID)
 	}
 	if err != nil {
 		text = err.Error()
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -237,16 +237,22 @@
 	return names[r]
 }
 
-// isFailure reports whether the relay should not be chosen for some time.
+// isFailure reports whether the relay should not be chosen for some time, for no database.
 func (r Reason) isFailure() bool {
 	switch r {
-	case ReasonUnreachable, ReasonQueueFull, ReasonFull, ReasonDraining, ReasonUnknownDatabase, ReasonNotPrimary, ReasonNoWay:
+	case ReasonUnreachable, ReasonQueueFull, ReasonFull, ReasonDraining:
 		return true
-	case ReasonTooLarge, ReasonRejected, ReasonNoRoom, ReasonRefused, ReasonTransactionEnded:
+	case ReasonUnknownDatabase, ReasonNotPrimary, ReasonNoWay, ReasonTooLarge, ReasonRejected, ReasonNoRoom, ReasonRefused, ReasonTransactionEnded:
 	}
 	return false
 }
 
+// isFailureOfDatabase reports whether the relay should not be chosen for some time, for the
+// database of the statement.
+func (r Reason) isFailureOfDatabase() bool {
+	return r == ReasonUnknownDatabase || r == ReasonNotPrimary || r == ReasonNoWay
+}
+
 // NotRunError reports a statement that was not sent to its database.
 type NotRunError struct {
 	Relay  netip.AddrPort
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -554,7 +554,7 @@
 	if _, err := p.client.Ask(t.Context(), p.path.address, testDatabase, statementTimeout); outcomeOf(nil, err) != "not run: no-way" {
 		t.Errorf("error %v", err)
 	}
-	if p.chooser.IsUsable(clock.Now(), p.path.address) {
+	if p.chooser.IsUsable(clock.Now(), p.path.address, testDatabase.ID) {
 		t.Error("the relay may be chosen although it does not reach the database")
 	}
 }
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -17,7 +17,10 @@
 const (
 	// replyShare is the part of a statement's remaining time in which the relay wants
 	// the database's answer, and maxReplyTime the most that it leaves for the way back.
-	replyShare   = 0.05
+	replyShare = 0.05
+	// readShare is the part of its remaining time that a read of a tenant outside a
+	// transaction may run: its answer may have been lost.
+	readShare    = 0.35
 	maxReplyTime = 20 * time.Millisecond
 )
 
@@ -244,6 +247,10 @@
 	}
 	sentAt := clock.Now()
 	timeout := message.Remaining - min(time.Duration(replyShare*float64(message.Remaining)), maxReplyTime) - sentAt.Sub(arrivedAt)
+	if message.Tenant != "" && message.Transaction == 0 && !message.isWrite() {
+		// The peer may try another way for a read whose answer is lost.
+		timeout = min(timeout, time.Duration(readShare*float64(message.Remaining)))
+	}
 	if timeout <= 0 {
 		return reply{Reason: ReasonNoRoom, Text: "no time is left"}
 	}
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -102,6 +102,10 @@
 	}
 	if reservation.IsRelayed {
 		conn, found := s.server.options.Relays.Open(requirements, reservation, req.excludedRelays)
+		if !found && requirements.Tenant != "" {
+			requirements.AvoidsRelays = true
+			return s.startAttempt(req, requirements)
+		}
 		if !found {
 			return nil, &statement.FailureError{Code: statement.CodeBusy, Message: "no relay reaches the database; " + retryAfterText}
 		}
@@ -169,11 +173,14 @@
 }
 
 // excludeAttempt leaves the database of an attempt that has failed out of the next ones, or
-// only the relay if it went through one.
+// only the relay if it went through one. A read of a tenant tries another database rather
+// than another relay if the relay reaches the database no more than others would.
 func (s *session) excludeAttempt(req *pendingRequest, requirements *placement.Requirements, att *attempt) {
 	if conn, isRelayed := att.conn.(*relay.Conn); isRelayed {
 		req.excludedRelays = append(req.excludedRelays, conn.Relay())
-		return
+		if req.tenant == "" || requirements.RequiresPrimary || !conn.IsDatabaseFailure() {
+			return
+		}
 	}
 	requirements.ExcludedDatabases = append(requirements.ExcludedDatabases, att.reservation.Database.ID)
 }
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -102,7 +102,7 @@
 // runAttempt runs a statement at the database of an attempt and ends the attempt.
 func (s *session) runAttempt(req *pendingRequest, att *attempt, isWrite bool) conclusion {
 	timeout := req.remaining()
-	if !isWrite && req.attempts == 1 {
+	if !isWrite && req.attempts == 1 && (!att.reservation.IsRelayed || req.tenant == "") {
 		timeout = time.Duration(firstAttemptShare * float64(timeout))
 	}
 	reply, err := s.sendStatement(req, att, nil, timeout)
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -183,6 +183,7 @@
 		databases = append(databases, published)
 	}
 	d.publishedInstances, d.publishedMembers = f.instanceCount(), f.membersVersion()
+	f.setOwners(databases, d.configuration.RequiresKey)
 	f.Scheduler.SetDatabases(databases, placement.Population{
 		Self: f.options.InstanceName, Instances: d.publishedInstances, Zones: f.membersByZone(),
 		HasTenants: d.configuration.RequiresKey,
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -29,6 +29,7 @@
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
 //	relays.go                the primaries that are reached through other instances
+//	owners.go                the instances that run the statements of all at a database
 //	limits.go                the limits of tenants: admission of operations
 //	limits_keeper.go         the heads, which keep the parts of the limits
 //	limits_draw.go           the tokens that instances draw from heads
@@ -257,6 +258,7 @@
 			f.updateLinks()
 			f.updateKeepers(clock.Now())
 			f.publishIfResized()
+			f.updateLeavingOwners()
 			f.expireDatabases()
 			f.createMissingRows(ctx)
 			f.deleteExpiredMembers(ctx)
--- a/internal/node/fleet/relays.go
+++ b/internal/node/fleet/relays.go
@@ -35,6 +35,10 @@
 	port uint16
 	// primaries holds the relays for the primaries whose statements are relayed.
 	primaries atomic.Pointer[map[model.DatabaseID][]decision.Candidate]
+	// owners holds the owners of databases; it is empty if no tenants are configured.
+	// leaving holds the relay addresses of the peers that are known to be draining.
+	owners  atomic.Pointer[map[model.DatabaseID][]decision.Candidate]
+	leaving atomic.Pointer[map[netip.AddrPort]bool]
 
 	mu     sync.Mutex
 	cuts   map[model.GroupID]*decision.Cut
@@ -61,24 +65,29 @@
 	}
 }
 
-// IsRelayed implements placement.RelayPolicy: the primary does not answer this instance
-// and answers peers.
+// IsRelayed implements placement.RelayPolicy: the database is a primary that does not
+// answer this instance and answers peers, or its owner is another instance.
 func (f *Fleet) IsRelayed(database placement.Database, _ model.TenantID) bool {
-	primaries := f.relays.primaries.Load()
-	if primaries == nil {
-		return false
+	if primaries := f.relays.primaries.Load(); primaries != nil {
+		if _, found := (*primaries)[database.ID]; found {
+			return true
+		}
 	}
-	_, found := (*primaries)[database.ID]
-	return found
+	owner, found := f.ownerOf(database.ID, nil)
+	return found && owner.Instance != f.options.InstanceName
 }
 
 // Open implements session.Relays.
 func (f *Fleet) Open(requirements placement.Requirements, reservation placement.Reservation, excluded []netip.AddrPort) (*relay.Conn, bool) {
+	database := reservation.Database.ID
+	if owner, found := f.ownerOf(database, excluded); found && owner.Instance != f.options.InstanceName {
+		return f.relays.client.Open(owner.Address, requirements, reservation), true
+	}
 	primaries := f.relays.primaries.Load()
 	if primaries == nil {
 		return nil, false
 	}
-	for _, candidate := range f.relays.order(reservation.Database.ID, (*primaries)[reservation.Database.ID]) {
+	for _, candidate := range f.relays.order(database, (*primaries)[database]) {
 		if !slices.Contains(excluded, candidate.Address) {
 			return f.relays.client.Open(candidate.Address, requirements, reservation), true
 		}
@@ -114,7 +123,6 @@
 	}
 	now := clock.Now()
 	isConfirmed := f.Leases.IsConfirmed(now)
-	isUsable := func(address netip.AddrPort) bool { return f.relays.chooser.IsUsable(now, address) }
 	primaries, hasChanged := map[model.DatabaseID][]decision.Candidate{}, false
 	rows := f.Leases.View().Rows
 	f.relays.mu.Lock()
@@ -135,6 +143,7 @@
 			Primary: grant.Primary, UnansweredFor: f.Scheduler.UnansweredFor(name),
 			AnsweredAt: f.Scheduler.AnsweredAt(grant.Primary), IsConfirmed: isConfirmed,
 		}
+		isUsable := func(address netip.AddrPort) bool { return f.relays.chooser.IsUsable(now, address, grant.Primary) }
 		wasRelaying := cut.IsRelaying()
 		if cut.Update(now, evidence, isUsable) && !f.relays.asking[name] {
 			f.relays.asking[name] = true
