--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -168,7 +168,7 @@
 // use.
 func (s *Scheduler) connectionShare(db *databaseState) int {
 	if db.IsOwned {
-		return max(1, int(ownedConnectionShare*float64(db.MaxConnections-controlConnections)))
+		return max(1, int(ownedConnectionShare*float64(db.MaxConnections-controlConnections)/float64(s.zones)))
 	}
 	if db.HasScarceConnections {
 		return scarceConnectionShare
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -148,6 +148,8 @@
 	byID   map[model.DatabaseID]*databaseState
 	// instances is the number of instances that share the databases.
 	instances int
+	// zones is the number of availability zones with instances, each of which has owners.
+	zones int
 	// durations is what the steps of an outage take here, for all groups.
 	durations *outage.Durations
 	// relays is the policy for relayed statements; nil if there is none.
@@ -243,7 +245,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	population.Instances = max(1, population.Instances)
-	s.instances = population.Instances
+	s.instances, s.zones = population.Instances, max(1, len(population.Zones))
 	markKept(databases, s.zone, population)
 	previous := s.byID
 	s.byID = make(map[model.DatabaseID]*databaseState, len(databases))
@@ -253,7 +255,7 @@
 	for _, d := range databases {
 		sharedBy := s.instances
 		if d.IsOwned {
-			sharedBy = 1
+			sharedBy = s.zones
 		}
 		db, found := previous[d.ID]
 		if !found || db.Incarnation != d.Incarnation {
--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -132,11 +132,7 @@
 // probePrimaries probes the primaries that have not answered this instance for
 // probeAfter, so that a failure is detected without requests of callers.
 func (f *Fleet) probePrimaries(ctx context.Context) {
-	after := probeAfter
-	if f.hasOwners() {
-		after = ownedProbeAfter
-	}
-	for _, d := range f.Scheduler.PrimariesToProbe(after, f.isObserver) {
+	for _, d := range f.Scheduler.PrimariesToProbe(probeAfter, f.isObserver) {
 		f.startProbe(ctx, d)
 	}
 }
--- a/internal/node/fleet/owners.go
+++ b/internal/node/fleet/owners.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
@@ -11,17 +10,6 @@
 	decision "github.com/eelgrassfold/eelgrassfold/internal/core/relay"
 )
 
-// ownedProbeAfter is the time without an answer of a primary after which its observers probe
-// it where databases have owners: the other instances send nothing to it, so that observers
-// are who notices its failure.
-const ownedProbeAfter = 250 * time.Millisecond
-
-// hasOwners reports whether databases have owners.
-func (f *Fleet) hasOwners() bool {
-	owners := f.relays.owners.Load()
-	return owners != nil && len(*owners) > 0
-}
-
 // setOwners determines the owners of databases, and marks those that this instance owns.
 // Without tenants or relays there are none.
 func (f *Fleet) setOwners(databases []placement.Database, hasTenants bool) {
@@ -30,7 +18,7 @@
 		members := append(f.relayCandidates(), decision.Candidate{Instance: f.options.InstanceName, Zone: f.options.Zone})
 		for i := range databases {
 			db := &databases[i]
-			owners[db.ID] = decision.Owners(db.ID, db.Zone, members)
+			owners[db.ID] = decision.Owners(db.ID, f.options.Zone, members)
 			db.IsOwned = slices.ContainsFunc(owners[db.ID], func(owner decision.Candidate) bool { return owner.Instance == f.options.InstanceName })
 		}
 	}
