Review: one large answer ends the instances that serve it (case 8)

Cause: the rows of a database's answer are collected whole, copied once more for the caller, and counted by the budget of callers only when complete.

--- a/review/_stage/answers.go
+++ b/review/_stage/answers.go
@@ -43,7 +43,7 @@
 		go func() { defer running.Done(); p.watchMemory(&ends[i]) }()
 	}
 	w.offer(2, 60*time.Millisecond)
-	end := time.Now().Add(40 * time.Second)
+	end := time.Now().Add(75 * time.Second)
 	for operation := 0; time.Now().Before(end); operation++ {
 		readReport(w, operation)
 		time.Sleep(2 * time.Second)
