--- a/review/_stage/tenants.go
+++ b/review/_stage/tenants.go
@@ -34,7 +34,7 @@
 	}
 	for _, g := range w.groups {
 		for _, d := range g.databases {
-			d.slots, d.maxConns, d.work = 4, 56, 25*time.Millisecond
+			d.slots, d.maxConns, d.work = 4, 56, 8*time.Millisecond
 		}
 	}
 	w.configure()
