Promote with synchronous replication only what holds every acknowledged commit

Cause: the choice of a successor preferred any database that stays to one that drains, whatever their logs. The only guard was the newest position sample in the memory of the coordinator: none after a restart of all instances, and older than the last acknowledgement otherwise. Databases that did not answer were left out. Change: a promotion in such a group needs a proof: all replicas that may have received a commit answer and the log is the longest of them, or the old primary answers and the log holds all that it has. The store has a record of these databases, so that one that doesn't answer differs from one that doesn't exist. A planned change waits until a database that stays has the whole log. The position sample is no longer a guard. Other groups are replaced as before.

--- a/internal/command/proxy/verb_serve.go
+++ b/internal/command/proxy/verb_serve.go
@@ -30,6 +30,7 @@
 	Settings string        `required:"" xor:"from" placeholder:"FILE" help:"The settings of this instance."`
 	Platform bool          `required:"" xor:"from" help:"Run on the users' platform, by the settings file that it provides."`
 	Leave    time.Duration `placeholder:"TIME" help:"On the platform: the wait that a read has to save to leave its availability zone; the share that leaves follows the measured waits. Without it, a fixed cost of 12ms decides about each read."`
+	Patience time.Duration `default:"30s" placeholder:"TIME" help:"On the platform, with synchronous replication: how long a failover waits for databases that have no entry and may hold acknowledged commits (${default})."`
 }
 
 // Run reads the settings and runs the instance until it ends.
@@ -38,7 +39,10 @@
 		if c.Leave < 0 {
 			return &UsageError{Reason: "the time to leave a zone must not be negative, but is " + c.Leave.String()}
 		}
-		return platform.Serve(console.Context, console.Out, c.Leave)
+		if c.Patience <= 0 {
+			return &UsageError{Reason: "the patience must be positive, but is " + c.Patience.String()}
+		}
+		return platform.Serve(console.Context, console.Out, platform.Flags{ZonePrice: c.Leave, Patience: c.Patience})
 	}
 	parsed, err := c.readSettings(console)
 	if err != nil {
--- a/internal/core/engine/engine_test.go
+++ b/internal/core/engine/engine_test.go
@@ -226,3 +226,25 @@
 		t.Errorf("write in flight = %s %s, want done", write.result, write.detail)
 	}
 }
+
+// Guards against a durable commit that is missing in the log of the new primary: the
+// replica that holds it drains, the other one is behind, and the instances that have
+// acknowledged it have ended with the primary.
+func TestDrainingReplicaKeepsDurableCommits(t *testing.T) {
+	w := newWorld(t, 3)
+	w.database("d2").leaving = true
+	w.partition([]string{"d3"}, []string{"d1", "d2"})
+	w.writeSteadily(500 * time.Millisecond)
+	w.primary().dead = true
+	for _, name := range []string{"i1", "i2", "i3"} {
+		w.node(name).dead = true
+		w.start(name)
+	}
+	w.heal()
+	w.writeSteadily(6 * time.Second)
+	w.run(12 * time.Second)
+	w.checkHistory()
+	if w.longestWriteGap() > 6*time.Second {
+		t.Error("no write was acknowledged after the failover")
+	}
+}
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	if reason, needed := succession.FailoverReason(evidence); needed { ... }
-//	chosen, found := succession.ChooseCandidate(candidates, acknowledged)
+//	chosen, found := succession.ChooseCandidate(candidates, required)
 package succession
 
 import (
@@ -72,13 +72,13 @@
 // ChooseCandidate returns the candidate with the highest received position, and
 // whether there is one. Of candidates with equal positions it prefers one that is
 // already primary. It returns a leaving database only if there is no other candidate.
-// The log of a candidate must hold the position acknowledged, unless that is zero.
-func ChooseCandidate(candidates []Candidate, acknowledged model.Position) (model.DatabaseID, bool) {
+// The log of a candidate must hold the required position, unless that is zero.
+func ChooseCandidate(candidates []Candidate, required model.Position) (model.DatabaseID, bool) {
 	var best *Candidate
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
-		case c.ReceivedPosition.Less(acknowledged):
+		case c.ReceivedPosition.Less(required):
 		case best == nil,
 			best.Leaving && !c.Leaving,
 			best.Leaving == c.Leaving && best.ReceivedPosition.Less(c.ReceivedPosition),
--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -21,6 +21,10 @@
 	coordinatorLease lease.CoordinatorLease, reason string,
 ) {
 	startedAt, evidence := clock.Now(), f.evidence(name, row)
+	if f.isSynchronous(name) && row.Phase == lease.PhaseStable && evidence.PrimaryLeaving && !f.awaitCaughtUp(ctx, name, row.Primary) {
+		sleep(ctx, failoverRetryDelay)
+		return
+	}
 	f.logEvent(event.ChangeBegun, event.F("group", name), event.F("epoch", row.Epoch),
 		event.F("primary", row.Primary), event.F("reason", reason),
 		event.F("witnesses", evidence.Observers), event.F("silent", evidence.UnansweredObservers))
@@ -30,20 +34,8 @@
 	if !ok {
 		return
 	}
-	primaryStatus := f.queryPrimary(ctx, name, row.Primary)
-	f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
-	oldPosition := f.stepDown(ctx, name, primaryStatus)
-	if !oldPosition.IsZero() {
-		record.FencedDatabases = []engine.FencedDatabase{{
-			Database: row.Primary,
-			Position: oldPosition.String(),
-		}}
-	}
-	chosen, ok := f.chooseSuccessor(ctx, name, claimed, oldPosition)
+	chosen, ok := f.succeed(ctx, name, row, claimed, wasHolder, &record)
 	if !ok {
-		f.logEvent(event.ChangeFailed, event.F("group", name),
-			event.F("why", "no database can take over"))
-		sleep(ctx, failoverRetryDelay)
 		return
 	}
 	term := chosen.status.Term
@@ -61,7 +53,7 @@
 	record.Primary, record.Term, record.Position = chosen.database.ID, term,
 		chosen.status.ReceivedPosition.String()
 	record.PromotedAt = time.Now()
-	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record) {
+	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record, chosen.rows) {
 		sleep(ctx, failoverPollInterval)
 	}
 	f.logEvent(event.ChangeEnded, event.F("group", name), event.F("epoch", newRow.Epoch),
@@ -174,14 +166,14 @@
 // continued the failover.
 func (f *Fleet) recordNewPrimary(
 	ctx context.Context, name model.GroupID, claimed, newRow lease.GroupRow,
-	record engine.PromotionRecord,
+	record engine.PromotionRecord, replicaRows []store.Row,
 ) bool {
 	_, err := f.write(ctx, store.Transaction{
 		Preconditions: []store.Row{{Table: groupTable, Key: groupKey(name), Version: claimed.Version}},
-		Upserts: []store.Row{
+		Upserts: append([]store.Row{
 			{Table: groupTable, Key: groupKey(name), Value: f.encode(&newRow)},
 			f.recordRow(record, newRow.Epoch),
-		},
+		}, replicaRows...),
 	})
 	f.logRowWrite(name, newRow, err)
 	f.requestRenewal()
@@ -236,6 +228,33 @@
 	// isPrimary is set if an unfinished failover has promoted the database
 	// already.
 	isPrimary bool
+	// rows are what the store gets about the replicas of the new primary, if replication
+	// is synchronous.
+	rows []store.Row
+}
+
+// succeed waits until no instance uses the old primary and returns the database to
+// promote, or false if there is none now. It adds to the record what the choice is based
+// on.
+func (f *Fleet) succeed(
+	ctx context.Context, name model.GroupID, row, claimed lease.GroupRow, wasHolder bool, record *engine.PromotionRecord,
+) (successor, bool) {
+	if f.isSynchronous(name) {
+		f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
+		return f.chooseSynchronous(ctx, name, row, claimed, record)
+	}
+	primaryStatus := f.queryPrimary(ctx, name, row.Primary)
+	f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
+	oldPosition := f.stepDown(ctx, name, primaryStatus)
+	if !oldPosition.IsZero() {
+		record.FencedDatabases = []engine.FencedDatabase{{Database: row.Primary, Position: oldPosition.String()}}
+	}
+	chosen, ok := f.chooseSuccessor(ctx, name, claimed, oldPosition)
+	if !ok {
+		f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
+		sleep(ctx, failoverRetryDelay)
+	}
+	return chosen, ok
 }
 
 // chooseSuccessor queries how far the logs of the other databases reach and
@@ -255,7 +274,7 @@
 				Leaving: s.database.Leaving, IsPrimary: s.status.Role == model.RolePrimary,
 			})
 		}
-		id, found := succession.ChooseCandidate(candidates, f.acknowledgedPosition(name))
+		id, found := succession.ChooseCandidate(candidates, model.Position{})
 		i := slices.IndexFunc(statuses, func(s databaseStatus) bool { return s.database.ID == id })
 		isOverdue := clock.Now().After(deadline) || ctx.Err() != nil
 		if found && (isOverdue || !statuses[i].status.ReceivedPosition.Less(oldPosition)) {
@@ -282,20 +301,6 @@
 	return count
 }
 
-// acknowledgedPosition returns the position that the log of a new primary must
-// contain. It is zero unless replication is synchronous, which ensures that a
-// replica has every acknowledged commit.
-func (f *Fleet) acknowledgedPosition(name model.GroupID) model.Position {
-	f.directory.mu.Lock()
-	synchronous := f.directory.configuration.Groups[name].SynchronousReplication
-	f.directory.mu.Unlock()
-	if !synchronous {
-		return model.Position{}
-	}
-	newest, _ := f.SamplesOf(name).Newest()
-	return newest.Position
-}
-
 // promote has the platform promote a database and waits until the database is
 // primary in a new term, which it returns. The platform changes nothing if the
 // database is primary already: then no newer term appears within the time of a
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -26,6 +26,8 @@
 //	coordinator.go           when a failover is started
 //	coordinator_lease.go     the coordinator lease: which instance carries it out
 //	coordinator_failover.go  the steps of a failover
+//	coordinator_synchronous.go  the choice of the successor with synchronous replication
+//	replicas.go              the databases of a group, for package replica
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
 //	relays.go                the primaries that are reached through other instances
@@ -58,6 +60,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/node/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
 )
@@ -117,7 +120,11 @@
 	// ZonePrice is the time that a read has to save to leave its availability zone;
 	// zero means that a fixed cost decides.
 	ZonePrice time.Duration
-	Log       *eventlog.Writer
+	// Patience is how long a failover of a group with synchronous replication waits for
+	// databases that have no entry and may hold acknowledged commits; zero means
+	// DefaultPatience.
+	Patience time.Duration
+	Log      *eventlog.Writer
 }
 
 // Fleet is the state of the fleet as one instance observes it. New creates one.
@@ -141,6 +148,7 @@
 	observed     observedGroups
 	coordination coordination
 	relays       relays
+	replicas     *replica.Keeper
 	leaving      atomic.Bool
 	// storeReachable is set if the store has answered the last call about the table of
 	// groups.
@@ -189,6 +197,7 @@
 		relays:       newRelays(options),
 		samples:      map[model.GroupID]*fresh.PositionSamples{},
 	}
+	f.replicas = f.newKeeper()
 	f.Scheduler.SetRelayPolicy(f)
 	f.Scheduler.SetZoneOptions(f.zoneOptions())
 	return f
@@ -231,6 +240,7 @@
 		f.gossipPeriodically,
 		f.runPeriodicTasks,
 		f.watchPrimaries,
+		f.keepReplicaRecords,
 	} {
 		f.running.Add(1)
 		go func() {
--- a/internal/node/fleet/leases.go
+++ b/internal/node/fleet/leases.go
@@ -8,7 +8,9 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	core "github.com/eelgrassfold/eelgrassfold/internal/core/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/node/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
@@ -271,6 +273,11 @@
 				f.recordRow(f.firstRecord(group.name, row), row.Epoch),
 			},
 		}
+		if view.Rejected[group.name] == 0 && f.isSynchronous(group.name) {
+			// Callers are served as soon as the row is there.
+			tx.Upserts = append(tx.Upserts,
+				replica.RecordRow(group.name, core.Record{Copies: replicaSource{f}.Copies(group.name)}))
+		}
 		if coordinatorLease := view.CoordinatorLease; coordinatorLease.Holder == "" {
 			ownLease := f.ownLease(coordinatorLease)
 			tx.Preconditions = append(tx.Preconditions,
--- a/internal/report/event/event_coordinator.go
+++ b/internal/report/event/event_coordinator.go
@@ -62,9 +62,38 @@
 			"that the primary is the only one.",
 		Fields: []string{"group", "databases", "answered", "primary", "proved", "age"},
 	}
+	SuccessorAwaited = Event{
+		Number: 431, Name: "successor-awaited", Level: LevelWarn,
+		Text: "A failover with synchronous replication waits: the missing databases may hold acknowledged commits, or, if none " +
+			"is missing, no database has the whole log yet.",
+		Fields: []string{"group", "primary", "missing", "waited"},
+	}
+	SuccessorChosen = Event{
+		Number: 432, Name: "successor-chosen", Level: LevelInfo,
+		Text: "A database is to be promoted. With synchronous replication, the proof tells why its log holds all acknowledged commits: " +
+			"it has all that the old primary has, it is the longest of all replicas, or it had been promoted already; " +
+			"none if the missing databases, which may have held more, count as lost.",
+		Fields: []string{"group", "database", "proof", "received", "missing"},
+	}
+	ChangeAbandoned = Event{
+		Number: 433, Name: "change-abandoned", Level: LevelInfo,
+		Text:   "A failover has ended without a promotion: the primary answers, and no other database has its whole log.",
+		Fields: []string{"group", "epoch", "primary", "took"},
+	}
+	ChangePostponed = Event{
+		Number: 434, Name: "change-postponed", Level: LevelInfo,
+		Text:   "The planned replacement of a primary waits until a database that stays has its whole log.",
+		Fields: []string{"group", "primary", "received"},
+	}
+	ReplicaRecordWritten = Event{
+		Number: 435, Name: "replica-record-written", Level: LevelInfo,
+		Text:   "The record of the databases that may hold acknowledged commits has changed.",
+		Fields: []string{"group", "databases", "outcome"},
+	}
 )
 
 var coordinatorEvents = []Event{
 	GroupRowSeen, GroupRowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
-	CoordinatorLeaseWritten, LeasesRevoked, GroupSurveyed,
+	CoordinatorLeaseWritten, LeasesRevoked, GroupSurveyed, SuccessorAwaited, SuccessorChosen, ChangeAbandoned, ChangePostponed,
+	ReplicaRecordWritten,
 }
