Ask about evictions without the lock of the pool

Cause: Pool.EvictStale called the directory under the pool's mutex, while the directory publishes databases to the scheduler under its own, which asks the pool. Change: the eviction asks before it takes the pool's mutex. An instance whose directory, scheduler and pool have not responded for 2 s is not ready.

--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -224,15 +225,23 @@
 }
 
 // EvictStale closes connections that were not used for their idleTimeout, and those of
-// databases for which keep returns false.
+// databases for which keep returns false. keep may take locks under which others call the
+// pool: the pool's own is not held meanwhile.
 func (p *Pool) EvictStale(keep func(model.DatabaseID) bool) {
+	p.mu.Lock()
+	ids := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	dropped := map[model.DatabaseID]bool{}
+	for _, id := range ids {
+		dropped[id] = !keep(id)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	for id, idle := range p.idle {
 		remaining := idle[:0]
 		for _, conn := range idle {
-			if !keep(id) || now.Sub(conn.lastUsedAt) > conn.idleTimeout() {
+			if dropped[id] || now.Sub(conn.lastUsedAt) > conn.idleTimeout() {
 				go conn.Close()
 				continue
 			}
--- a/internal/edge/backend/pool_test.go
+++ b/internal/edge/backend/pool_test.go
@@ -178,3 +178,31 @@
 		}
 	}
 }
+
+// Guards against an instance that hangs for good: the function that decides about an
+// eviction takes locks under which others call the pool, so that it must not be called
+// under the pool's own.
+func TestEvictionHoldsNoLockMeanwhile(t *testing.T) {
+	address, _ := startEchoServer(t)
+	pool := NewPool(lineProtocol{})
+	target := placement.Database{ID: "a", Address: address}
+	conn, err := pool.Get(t.Context(), target, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Put(conn)
+	ended := make(chan bool, 1)
+	go func() {
+		wasIdle := false
+		pool.EvictStale(func(id model.DatabaseID) bool { wasIdle = pool.HasIdle(id, ""); return false })
+		ended <- wasIdle && !pool.HasIdle("a", "")
+	}()
+	select {
+	case evicted := <-ended:
+		if !evicted {
+			t.Error("the connection was not evicted")
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the eviction hangs")
+	}
+}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -154,6 +154,9 @@
 	// groups.
 	storeReachable atomic.Bool
 	ready          atomic.Bool
+	// liveAt is the time since boot, in nanoseconds, at which the parts that each
+	// statement passes through were last seen to respond.
+	liveAt atomic.Int64
 	// running counts the goroutines of the fleet.
 	running sync.WaitGroup
 	// lifetime is the context of work that is started on request, such as
@@ -241,6 +244,7 @@
 		f.runPeriodicTasks,
 		f.watchPrimaries,
 		f.keepReplicaRecords,
+		f.recordLiveness,
 	} {
 		f.running.Add(1)
 		go func() {
@@ -334,9 +338,6 @@
 	f.updateReadiness()
 }
 
-// IsReady reports whether the platform should send callers to this instance.
-func (f *Fleet) IsReady() bool { return f.ready.Load() }
-
 func (f *Fleet) logEvent(e event.Event, fields ...event.Field) {
 	f.options.Log.Write(time.Now(), e, fields...)
 }
--- a/internal/node/fleet/readiness.go
+++ b/internal/node/fleet/readiness.go
@@ -1,12 +1,42 @@
 package fleet
 
 import (
+	"context"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
+const (
+	// livenessInterval is the time between two checks whether the instance can serve
+	// statements. Without one for livenessTimeout it is not ready.
+	livenessInterval = 250 * time.Millisecond
+	livenessTimeout  = 2 * time.Second
+)
+
+// recordLiveness records, until ctx ends, that the parts that each statement passes through
+// respond: the directory, the scheduler and the pool.
+func (f *Fleet) recordLiveness(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.ConfigurationVersion()
+		f.Scheduler.DatabaseOf("")
+		f.Pool.HasIdle("", "")
+		f.liveAt.Store(int64(sinceBoot(clock.Now())))
+		sleep(ctx, livenessInterval)
+	}
+}
+
+// IsReady reports whether the platform should send callers to this instance.
+func (f *Fleet) IsReady() bool {
+	return f.ready.Load() && f.sinceLive() < livenessTimeout
+}
+
+// sinceLive returns the time since recordLiveness last saw the instance respond.
+func (f *Fleet) sinceLive() time.Duration {
+	return sinceBoot(clock.Now()) - time.Duration(f.liveAt.Load())
+}
+
 // updateReadiness decides whether the platform should send callers to this
 // instance: it has a configuration and a database and is not leaving, and
 // hasConfirmedPrimary was true within the last unconfirmedReadyLimit. It logs a
