Survey the databases that were dropped while the instance is cut off

Cause: a survey proves a primary by the answers of all databases that the instance lists. The list shrinks while the instance is cut off, since missing entries are dropped, and a database that registers meanwhile is unknown to it. Change: a survey counts the databases that were dropped since the list was the newest, or shortly before. The age of the list bounds a survey as the age of the view does. A database that has registered within that time isn't promoted, unless all members have seen the claim or the old primary has stepped down. The check that a change left unfinished has promoted the only primary counts dropped databases as well. Ruled out: the majority of members is counted over rows of the store, which an instance that is cut off doesn't lose; the PostgreSQL path counts over the manifest.

--- a/internal/core/replica/decide.go
+++ b/internal/core/replica/decide.go
@@ -137,7 +137,12 @@
 // follow decides about a change whose old primary answers: another database has to hold
 // all that the primary has.
 func (c Change) follow(primary Answer) Decision {
-	id, found := succession.ChooseCandidate(c.candidates(c.Term), primary.Position)
+	candidates := c.candidates(c.Term)
+	for i := range candidates {
+		// The primary steps down first, or has ended.
+		candidates[i].IsBarred = false
+	}
+	id, found := succession.ChooseCandidate(candidates, primary.Position)
 	chosen, _ := find(c.Answers, id)
 	isUsable := primary.IsPrimary && !primary.Retired
 	switch {
@@ -186,7 +191,7 @@
 	for _, a := range c.Answers {
 		if a.ID != c.Primary && a.Term >= term {
 			candidates = append(candidates, succession.Candidate{
-				ID: a.ID, ReceivedPosition: a.Position, Leaving: a.Leaving || a.Retired, IsPrimary: a.IsPrimary,
+				ID: a.ID, ReceivedPosition: a.Position, Leaving: a.Leaving || a.Retired, IsPrimary: a.IsPrimary, IsBarred: a.IsBarred,
 			})
 		}
 	}
--- a/internal/core/replica/decide_test.go
+++ b/internal/core/replica/decide_test.go
@@ -49,6 +49,7 @@
 func promoted(a *Answer)  { a.IsPrimary, a.Term = true, 3 }
 func restarted(a *Answer) { a.Incarnation = 2 }
 func empty(a *Answer)     { a.Incarnation, a.Position = 2, position(1, 0) }
+func barred(a *Answer)    { a.IsBarred = true }
 func behind(a *Answer)    { a.Term, a.Position.Term = 1, 1 }
 
 // The primary p of term 2 is replaced; its log ended at 2:10 when it was promoted.
@@ -84,6 +85,8 @@
 		{"the longest log is of a leaving one", changeOf(answer("a", 20, leaving), answer("b", 15))},
 		{"the longest log is of a retired one", changeOf(answer("a", 20, retired), answer("b", 15))},
 		{"equal logs, one is leaving", changeOf(answer("a", 20, leaving), answer("b", 20))},
+		{"the longest log is of a newcomer", changeOf(answer("a", 20, barred), answer("b", 15))},
+		{"the longest log is of a newcomer, the primary answers", changeOf(answer("p", 20, leads), answer("a", 20, barred))},
 		{"one does not answer", changeOf(answer("b", 15))},
 		{"one does not answer and is lost", lost(changeOf(answer("b", 15)))},
 		{"none answers and all are lost", lost(changeOf())},
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -63,6 +63,9 @@
 	// Retired is true if the database has been leaving for so long that callers'
 	// statements are no longer sent to it.
 	Retired bool
+	// IsBarred is true if the database must not be promoted while the old primary may
+	// still be used (see Fleet.isNewcomer).
+	IsBarred bool
 }
 
 // holds reports whether the log of the database that answered holds everything that c
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -67,6 +67,8 @@
 	Leaving          bool
 	// IsPrimary is true if the database has been promoted already.
 	IsPrimary bool
+	// IsBarred is true if the database must not be promoted yet.
+	IsBarred bool
 }
 
 // ChooseCandidate returns the candidate with the highest received position, and
@@ -78,7 +80,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
-		case c.ReceivedPosition.Less(required):
+		case c.IsBarred, c.ReceivedPosition.Less(required):
 		case best == nil,
 			best.Leaving && !c.Leaving,
 			best.Leaving == c.Leaving && best.ReceivedPosition.Less(c.ReceivedPosition),
--- a/internal/node/fleet/control.go
+++ b/internal/node/fleet/control.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
+	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
@@ -15,19 +18,11 @@
 	status   statement.ServerStatus
 }
 
-// queryAllStatus queries the status of all databases of a group except
-// excluded, at the same time, and returns the responses of those that answered.
-func (f *Fleet) queryAllStatus(
-	ctx context.Context, group model.GroupID, excluded model.DatabaseID,
-) []databaseStatus {
-	databases := f.databasesOf(group)
+// queryAllStatus queries the status of databases at the same time and returns the
+// responses of those that answered.
+func (f *Fleet) queryAllStatus(ctx context.Context, databases []placement.Database) []databaseStatus {
 	answers := make(chan databaseStatus, len(databases))
-	queried := 0
 	for _, d := range databases {
-		if d.ID == excluded {
-			continue
-		}
-		queried++
 		go func() {
 			status, err := f.sendControl(ctx, d, statement.QueryStatus{})
 			if err != nil {
@@ -38,7 +33,7 @@
 		}()
 	}
 	var responses []databaseStatus
-	for range queried {
+	for range databases {
 		if answer := <-answers; answer.database.ID != "" {
 			responses = append(responses, answer)
 		}
@@ -102,6 +97,45 @@
 	return databases
 }
 
+// promotableSince returns the databases of a group that another instance may have promoted
+// after a moment at which this instance knew the newest list: those in it, and those
+// that were dropped since. One that has registered later is not among them (see
+// isNewcomer).
+func (f *Fleet) promotableSince(group model.GroupID, moment time.Time) []placement.Database {
+	d := &f.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	synchronous, now := d.configuration.Groups[group].SynchronousReplication, clock.Now()
+	var databases []placement.Database
+	for _, e := range d.entries {
+		isRetiredByAll := e.retired && now.Sub(e.leavingSince) > f.options.DrainTimeout+directorySkew
+		if e.Group == group && (synchronous || !isRetiredByAll) {
+			databases = append(databases, e.Database)
+		}
+	}
+	for id, e := range d.dropped {
+		if _, found := d.entries[id]; !found && e.Group == group && e.at.After(moment.Add(-directorySkew)) {
+			databases = append(databases, e.Database)
+		}
+	}
+	return databases
+}
+
+// isNewcomer reports whether a database has registered so recently that an instance which
+// is cut off from the store may survey the others without knowing it.
+func (f *Fleet) isNewcomer(id model.DatabaseID) bool {
+	d := &f.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, found := d.entries[id]
+	return found && !e.knownSince.IsZero() && clock.Since(e.knownSince) <= maxSurveyViewAge
+}
+
+// without returns the databases except one.
+func without(databases []placement.Database, excluded model.DatabaseID) []placement.Database {
+	return slices.DeleteFunc(databases, func(d placement.Database) bool { return d.ID == excluded })
+}
+
 // outcome returns the text of an error for a log field, or "ok" for nil.
 func outcome(err error) string {
 	if err == nil {
--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -259,19 +259,23 @@
 
 // chooseSuccessor queries how far the logs of the other databases reach and
 // returns the database to promote. It waits up to catchUpTimeout for one that
-// has all that the old primary has. It returns false if there is no candidate.
+// has all that the old primary has. It returns false if there is no candidate. Unless
+// the old primary has stepped down, it takes no database that isUnknownToSome.
 func (f *Fleet) chooseSuccessor(
 	ctx context.Context, name model.GroupID, row lease.GroupRow, oldPosition model.Position,
 ) (successor, bool) {
-	deadline := clock.Now().Add(catchUpTimeout)
+	startedAt := clock.Now()
+	deadline := startedAt.Add(catchUpTimeout)
 	for {
-		statuses := f.queryAllStatus(ctx, name, row.Primary)
-		primary, hasSolePrimary := solePrimary(statuses, f.countOthers(name, row.Primary))
+		statuses := f.queryAllStatus(ctx, without(f.databasesOf(name), row.Primary))
+		others := without(f.promotableSince(name, startedAt), row.Primary)
+		primary, hasSolePrimary := solePrimary(statuses, len(others))
 		var candidates []succession.Candidate
 		for _, s := range statuses {
 			candidates = append(candidates, succession.Candidate{
 				ID: s.database.ID, ReceivedPosition: s.status.ReceivedPosition,
 				Leaving: s.database.Leaving, IsPrimary: s.status.Role == model.RolePrimary,
+				IsBarred: oldPosition.IsZero() && f.isUnknownToSome(s.database.ID, row.Version),
 			})
 		}
 		id, found := succession.ChooseCandidate(candidates, model.Position{})
@@ -290,15 +294,10 @@
 	}
 }
 
-// countOthers returns the number of a group's databases other than excluded.
-func (f *Fleet) countOthers(name model.GroupID, excluded model.DatabaseID) int {
-	count := 0
-	for _, d := range f.databasesOf(name) {
-		if d.ID != excluded {
-			count++
-		}
-	}
-	return count
+// isUnknownToSome reports whether a member that has not seen the claim may survey a
+// group without this database, and take the old primary for the present one.
+func (f *Fleet) isUnknownToSome(id model.DatabaseID, claimVersion uint64) bool {
+	return f.isNewcomer(id) && !f.isSeenByAll(claimVersion)
 }
 
 // promote has the platform promote a database and waits until the database is
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -120,6 +120,7 @@
 	startedAt := clock.Now()
 	awaited, err := f.replicas.Await(ctx, replica.Replacement{
 		Group: name, Primary: row.Primary, Term: row.Term, CanResume: row.Phase == lease.PhaseStable,
+		IsBarred: func(id model.DatabaseID) bool { return f.isUnknownToSome(id, claimed.Version) },
 		IsCurrent: func() bool {
 			view := f.Leases.View()
 			return view.Rows[name].Epoch <= claimed.Epoch &&
@@ -132,7 +133,13 @@
 	}
 	switch decision := awaited.Decision.(type) {
 	case core.Promote:
-		return f.prepare(ctx, name, row, awaited, decision, record), true
+		chosen, ok := f.prepare(ctx, name, row, awaited, decision, record)
+		if !ok && f.isUnknownToSome(decision.Database, claimed.Version) {
+			f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", "the old primary has not stepped down"))
+			sleep(ctx, failoverRetryDelay)
+			return successor{}, false
+		}
+		return chosen, true
 	case core.Resume:
 		f.resume(ctx, name, row, claimed, startedAt)
 	case core.Wait:
@@ -142,12 +149,13 @@
 }
 
 // prepare makes the old primary step down if it answers, and returns the database to
-// promote. It adds to the record what the choice is based on.
+// promote, and false if the old primary has not stepped down. It adds to the record what
+// the choice is based on.
 func (f *Fleet) prepare(
 	ctx context.Context, name model.GroupID, row lease.GroupRow, awaited replica.Outcome, decision core.Promote,
 	record *engine.PromotionRecord,
-) successor {
-	chosen := successor{}
+) (successor, bool) {
+	chosen, hasSteppedDown := successor{}, true
 	var others []databaseStatus
 	for _, a := range awaited.Answers {
 		status := databaseStatus{database: f.databaseOf(name, a.Copy), status: statement.ServerStatus{
@@ -166,6 +174,7 @@
 		record.FencedDatabases = []engine.FencedDatabase{{Database: row.Primary, Position: a.Position.String()}}
 		if a.IsPrimary && a.ID != decision.Database {
 			_, err := f.sendControl(ctx, status.database, statement.StepDown{Term: a.Term + 1})
+			hasSteppedDown = err == nil
 			f.logEvent(event.PrimarySteppedDown, event.F("group", name), event.F("database", a.ID),
 				event.F("received", a.Position.String()), event.F("outcome", outcome(err)))
 		}
@@ -181,7 +190,7 @@
 			"acknowledged commits after %s may be missing: no answer of %s, nor an entry for %v",
 			end, joinIDs(append(awaited.Missing, row.Primary)), f.replicas.Patience()))
 	}
-	return chosen
+	return chosen, hasSteppedDown
 }
 
 // resume ends a failover without a promotion: the old primary stays.
--- a/internal/node/fleet/directory.go
+++ b/internal/node/fleet/directory.go
@@ -14,6 +14,11 @@
 	// has gone missing: entries that expire while the store is unavailable are
 	// written again within two seconds of its return.
 	missingEntryGrace = 2500 * time.Millisecond
+	// directorySkew bounds by how much instances differ in when they drop or retire a
+	// database.
+	directorySkew = 2 * missingEntryGrace
+	// droppedMemory is how long a dropped database may count in a survey.
+	droppedMemory = maxSurveyViewAge + directorySkew
 	// maxRejected is the number of invalid entries that are remembered, so that each
 	// is logged once; maxRejectedLines is how many invalid parts of a configuration
 	// are logged.
@@ -52,6 +57,9 @@
 	// confirmed.
 	changed chan struct{}
 	entries map[model.DatabaseID]*entry
+	// dropped are the databases that were removed from entries less than droppedMemory
+	// ago.
+	dropped map[model.DatabaseID]droppedDatabase
 	// rejected holds the entries that could not be decoded.
 	rejected rejections
 	// configurationBody is the configuration in force, encoded and without
@@ -98,11 +106,22 @@
 	// missingSince is when the entry was found missing, leavingSince when it
 	// first marked the database as leaving; both are zero otherwise.
 	missingSince, leavingSince time.Time
+	// knownSince is when the entry was first seen; zero if it was in the first list that
+	// this instance has received.
+	knownSince time.Time
 	// retired is set when the database has been leaving for so long that it may
 	// get no more work.
 	retired bool
 }
 
+// droppedDatabase is a database whose entry is missing, and when it was dropped.
+type droppedDatabase struct {
+	placement.Database
+	at time.Time
+}
+
 func newDirectory() directory {
-	return directory{changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}}
+	return directory{
+		changed: make(chan struct{}), entries: map[model.DatabaseID]*entry{}, dropped: map[model.DatabaseID]droppedDatabase{},
+	}
 }
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -16,7 +17,7 @@
 	d := &f.directory
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	listed := map[model.DatabaseID]bool{}
+	listed, isFirstList := map[model.DatabaseID]bool{}, d.listed == 0
 	for _, row := range rows.Rows {
 		id := model.DatabaseID(row.Key)
 		listed[id] = true
@@ -27,7 +28,7 @@
 			f.markMissing(id)
 			continue
 		}
-		f.applyEntry(row)
+		f.applyEntry(row, isFirstList)
 	}
 	if isComplete {
 		for id := range d.entries {
@@ -95,7 +96,7 @@
 }
 
 // applyEntry applies one entry. The directory must be locked.
-func (f *Fleet) applyEntry(row store.Row) {
+func (f *Fleet) applyEntry(row store.Row, isFirstList bool) {
 	decoded, err := f.options.Schema.DecodeDatabase(row.Key, row.Value)
 	if err != nil {
 		f.rejectEntry(row, err)
@@ -106,6 +107,9 @@
 	current, found := d.entries[decoded.ID]
 	if !found || current.Incarnation != decoded.Incarnation {
 		current = &entry{}
+		if !isFirstList {
+			current.knownSince = clock.Now()
+		}
 		d.entries[decoded.ID] = current
 	}
 	if current.version > row.Version {
@@ -140,12 +144,14 @@
 	defer d.mu.Unlock()
 	now := clock.Now()
 	hasChanged := false
+	maps.DeleteFunc(d.dropped, func(_ model.DatabaseID, e droppedDatabase) bool { return now.Sub(e.at) > droppedMemory })
 	for id, e := range d.entries {
 		var reason string
 		switch {
 		case !e.missingSince.IsZero() && now.Sub(e.missingSince) > missingEntryGrace:
 			reason = "its entry is missing"
 			delete(d.entries, id)
+			d.dropped[id] = droppedDatabase{Database: e.Database, at: now}
 		case !e.retired && !e.leavingSince.IsZero() && now.Sub(e.leavingSince) > f.options.DrainTimeout:
 			reason = "it has been leaving for longer than the drain timeout"
 			e.retired = true
--- a/internal/node/fleet/survey.go
+++ b/internal/node/fleet/survey.go
@@ -15,9 +15,10 @@
 const (
 	// surveyPause is the pause after a survey that has confirmed no primary.
 	surveyPause = 25 * time.Millisecond
-	// maxSurveyViewAge is how long after the read of the last view the list of
-	// databases is assumed to be complete: a database that registers itself
-	// later could be promoted without being surveyed.
+	// maxSurveyViewAge is how long after the read of the last view, and after the list of
+	// databases was the newest, a survey of them is a proof. A database that registers
+	// later is not surveyed; it is not promoted within this time unless no instance uses
+	// the old primary (see isNewcomer).
 	maxSurveyViewAge = 15 * time.Second
 	// peerSurveyTimeout bounds the wait for a survey by a peer: the queries of
 	// the databases and the messages to the peer and back. After it this
@@ -133,7 +134,7 @@
 	}()
 }
 
-// runRound runs a round. If this instance is not a member or its view is older than
+// runRound runs a round. If this instance is not a member or what it knows is older than
 // maxSurveyViewAge, the round confirms nothing and ends at once.
 func (f *Fleet) runRound(ctx context.Context, name model.GroupID, r *round) {
 	view := f.Leases.View()
@@ -144,16 +145,22 @@
 		r.primary, r.confirmed = response.Primary, response.Confirmed
 		return
 	}
+	knownAt := view.ReadStartedAt
+	if listedAt := f.databasesConfirmedAt(); listedAt.Before(knownAt) {
+		knownAt = listedAt
+	}
+	if clock.Since(knownAt) > maxSurveyViewAge {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	databases := f.databasesOf(name)
-	// The empty ID excludes no database.
-	statuses := f.queryAllStatus(ctx, name, "")
+	databases := f.promotableSince(name, knownAt)
+	statuses := f.queryAllStatus(ctx, databases)
 	r.primary, r.confirmed = solePrimary(statuses, len(databases))
 	f.logEvent(event.GroupSurveyed, event.F("group", name), event.F("databases", len(databases)),
 		event.F("answered", len(statuses)), event.F("primary", r.primary),
 		event.F("proved", r.confirmed),
-		event.F("age", clock.Since(view.ReadStartedAt).String()))
+		event.F("age", clock.Since(knownAt).String()))
 }
 
 // requestPeerSurvey requests a survey of a group from the first instance of
--- a/internal/node/fleet/survey_test.go
+++ b/internal/node/fleet/survey_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,9 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 )
 
 // sendFunc is a Links that passes each message to a peer to the function.
@@ -141,3 +144,50 @@
 		})
 	}
 }
+
+// A survey must count the databases that were dropped since the list was the newest, or
+// shortly before, as another instance may drop them later.
+func TestPromotableSince(t *testing.T) {
+	f := newUnstartedFleet(1, 3)
+	now := clock.Now()
+	f.applyDatabaseRows(store.Rows{Version: 1, Rows: []store.Row{
+		{Key: "a", Value: []byte("ratings"), Version: 1}, {Key: "b", Value: []byte("ratings"), Version: 1},
+		{Key: "c", Value: []byte("results"), Version: 1},
+	}}, true)
+	for id, at := range map[model.DatabaseID]time.Time{"d": now.Add(time.Second), "e": now.Add(-directorySkew / 2), "f": now.Add(-2 * directorySkew)} {
+		f.directory.dropped[id] = droppedDatabase{Database: placement.Database{ID: id, Group: "ratings"}, at: at}
+	}
+	f.directory.entries["b"].missingSince = now.Add(-2 * missingEntryGrace)
+	f.expireDatabases()
+	var got []string
+	for _, d := range f.promotableSince("ratings", now) {
+		got = append(got, string(d.ID))
+	}
+	slices.Sort(got)
+	if diff := cmp.Diff([]string{"a", "b", "d", "e"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A database that has registered after the first list must not be promoted while a member
+// that has not seen the claim may survey the group without it.
+func TestNewcomerIsUnknownToSome(t *testing.T) {
+	f := newUnstartedFleet(1, 1)
+	row := func(id string, version uint64) store.Rows {
+		return store.Rows{Version: version, Rows: []store.Row{{Key: id, Value: []byte("ratings"), Version: version}}}
+	}
+	f.applyDatabaseRows(row("a", 1), true)
+	f.applyDatabaseRows(row("b", 2), false)
+	const claim = 10
+	got := []bool{f.isUnknownToSome("a", claim), f.isUnknownToSome("b", claim)}
+	f.Leases.Update(lease.View{Version: claim, ReadStartedAt: clock.Now(), IsMember: true})
+	for _, id := range []model.InstanceID{"z2-1", "z3-1"} {
+		f.receiveGossip(id, message.GossipState{ViewVersion: claim})
+	}
+	got = append(got, f.isUnknownToSome("b", claim))
+	f.directory.entries["b"].knownSince = clock.Now().Add(-maxSurveyViewAge - time.Second)
+	got = append(got, f.isUnknownToSome("b", claim+1))
+	if diff := cmp.Diff([]bool{false, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/replica/await.go
+++ b/internal/node/replica/await.go
@@ -28,6 +28,9 @@
 	// CanResume is true if no promotion can have been called since the primary was last
 	// in use.
 	CanResume bool
+	// IsBarred reports whether a database must not be promoted while the old primary may
+	// still be used.
+	IsBarred func(model.DatabaseID) bool
 	// IsCurrent reports whether this instance is still to carry out the failover.
 	IsCurrent func() bool
 }
@@ -103,7 +106,7 @@
 	copies := k.copiesOf(r.Group, known.record)
 	change := replica.Change{
 		Primary: r.Primary, Term: r.Term, Base: known.base, Copies: copies,
-		Answers: k.identify(answers, listed), CanResume: r.CanResume, IsOverdue: w.isOverdue(),
+		Answers: w.identify(answers, listed), CanResume: r.CanResume, IsOverdue: w.isOverdue(),
 	}
 	decision := replica.Decide(change)
 	outcome := Outcome{Decision: decision, Answers: change.Answers, Record: replica.Record{Copies: copies}.AfterPromotion(listed)}
@@ -122,14 +125,14 @@
 }
 
 // identify sets the entries of the databases that answered.
-func (k *Keeper) identify(answers []replica.Answer, listed []replica.Copy) []replica.Answer {
+func (w *wait) identify(answers []replica.Answer, listed []replica.Copy) []replica.Answer {
 	identified := slices.Clone(answers)
 	for i := range identified {
 		a := &identified[i]
 		if at := slices.IndexFunc(listed, func(c replica.Copy) bool { return c.ID == a.ID }); at >= 0 {
 			a.Copy = listed[at]
 		}
-		a.Retired = k.options.Source.IsRetired(a.ID)
+		a.Retired, a.IsBarred = w.keeper.options.Source.IsRetired(a.ID), w.replacement.IsBarred(a.ID)
 	}
 	return identified
 }
