Do not promote a database whose log has left the history of its group

Cause: the choice of a successor compared the ends of logs only. An old primary that was cut off while two others led, and then was the only one that answered, was promoted again with what the first promotion had rolled back. Change: the store keeps the last promotions of each group with the end of the new primary's log. A database that has not joined the present term, and whose log goes on after the base of a later one, isn't promoted while another database, or the primary, has an entry. If the primary answers again meanwhile, it stays. After the patience of a failover such a log is promoted, and the logbook says so. A database that comes back shortly after it was dropped is no newcomer. Ruled out: excluding all databases of an earlier term, since one that has received nothing for a while is a part of the history and may lead.

--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -12,6 +11,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/node/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
@@ -38,26 +38,28 @@
 	if !ok {
 		return
 	}
-	term := chosen.status.Term
 	if !chosen.isPrimary {
-		term, ok = f.promote(ctx, name, chosen.databaseStatus)
+		chosen.status, ok = f.promote(ctx, name, chosen.databaseStatus)
 	}
 	if !ok {
 		sleep(ctx, failoverRetryDelay)
 		return
 	}
 	newRow := lease.GroupRow{
-		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.database.ID, Term: term,
+		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.database.ID, Term: chosen.status.Term,
 		Coordinator: f.options.StartID, Reason: reason,
 	}
-	record.Primary, record.Term, record.Position = chosen.database.ID, term,
+	record.Primary, record.Term, record.Position = chosen.database.ID, chosen.status.Term,
 		chosen.status.ReceivedPosition.String()
 	record.PromotedAt = time.Now()
-	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record, chosen.rows) {
+	rows := append(chosen.copies, replica.HistoryRow(name, chosen.history.Add(succession.Promotion{
+		Term: chosen.status.Term, Base: chosen.status.ReceivedPosition,
+	})))
+	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record, rows) {
 		sleep(ctx, failoverPollInterval)
 	}
 	f.logEvent(event.ChangeEnded, event.F("group", name), event.F("epoch", newRow.Epoch),
-		event.F("primary", chosen.database.ID), event.F("before", row.Primary), event.F("term", term),
+		event.F("primary", chosen.database.ID), event.F("before", row.Primary), event.F("term", chosen.status.Term),
 		event.F("received", chosen.status.ReceivedPosition.String()),
 		event.F("took", clock.Since(startedAt).String()))
 	f.awaitEpoch(ctx, name, newRow.Epoch)
@@ -228,9 +230,10 @@
 	// isPrimary is set if an unfinished failover has promoted the database
 	// already.
 	isPrimary bool
-	// rows are what the store gets about the replicas of the new primary, if replication
-	// is synchronous.
-	rows []store.Row
+	// history holds the promotions of the group so far, copies the row with the record of
+	// its databases if replication is synchronous.
+	history succession.History
+	copies  []store.Row
 }
 
 // succeed waits until no instance uses the old primary and returns the database to
@@ -243,70 +246,22 @@
 		f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
 		return f.chooseSynchronous(ctx, name, row, claimed, record)
 	}
-	primaryStatus := f.queryPrimary(ctx, name, row.Primary)
+	primaryStatus, history := f.queryPrimary(ctx, name, row.Primary), f.readHistory(ctx, name)
 	f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
 	oldPosition := f.stepDown(ctx, name, primaryStatus)
 	if !oldPosition.IsZero() {
 		record.FencedDatabases = []engine.FencedDatabase{{Database: row.Primary, Position: oldPosition.String()}}
 	}
-	chosen, ok := f.chooseSuccessor(ctx, name, claimed, oldPosition)
-	if !ok {
-		f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
-		sleep(ctx, failoverRetryDelay)
-	}
-	return chosen, ok
-}
-
-// chooseSuccessor queries how far the logs of the other databases reach and
-// returns the database to promote. It waits up to catchUpTimeout for one that
-// has all that the old primary has. It returns false if there is no candidate. Unless
-// the old primary has stepped down, it takes no database that isUnknownToSome.
-func (f *Fleet) chooseSuccessor(
-	ctx context.Context, name model.GroupID, row lease.GroupRow, oldPosition model.Position,
-) (successor, bool) {
-	startedAt := clock.Now()
-	deadline := startedAt.Add(catchUpTimeout)
-	for {
-		statuses := f.queryAllStatus(ctx, without(f.databasesOf(name), row.Primary))
-		others := without(f.promotableSince(name, startedAt), row.Primary)
-		primary, hasSolePrimary := solePrimary(statuses, len(others))
-		var candidates []succession.Candidate
-		for _, s := range statuses {
-			candidates = append(candidates, succession.Candidate{
-				ID: s.database.ID, ReceivedPosition: s.status.ReceivedPosition,
-				Leaving: s.database.Leaving, IsPrimary: s.status.Role == model.RolePrimary,
-				IsBarred: oldPosition.IsZero() && f.isUnknownToSome(s.database.ID, row.Version),
-			})
-		}
-		id, found := succession.ChooseCandidate(candidates, model.Position{})
-		i := slices.IndexFunc(statuses, func(s databaseStatus) bool { return s.database.ID == id })
-		isOverdue := clock.Now().After(deadline) || ctx.Err() != nil
-		if found && (isOverdue || !statuses[i].status.ReceivedPosition.Less(oldPosition)) {
-			// A term above the old primary's is the result of a promotion after
-			// it.
-			isPrimary := hasSolePrimary && primary == id && statuses[i].status.Term > row.Term
-			return successor{databaseStatus: statuses[i], isPrimary: isPrimary}, true
-		}
-		if isOverdue {
-			return successor{}, false
-		}
-		sleep(ctx, failoverPollInterval)
-	}
-}
-
-// isUnknownToSome reports whether a member that has not seen the claim may survey a
-// group without this database, and take the old primary for the present one.
-func (f *Fleet) isUnknownToSome(id model.DatabaseID, claimVersion uint64) bool {
-	return f.isNewcomer(id) && !f.isSeenByAll(claimVersion)
+	return f.chooseSuccessor(ctx, &search{name: name, row: row, claimed: claimed, oldPosition: oldPosition, reading: history}, record)
 }
 
 // promote has the platform promote a database and waits until the database is
-// primary in a new term, which it returns. The platform changes nothing if the
-// database is primary already: then no newer term appears within the time of a
-// promotion, and promote returns the present term.
+// primary in a new term. It returns the database's status then. The platform changes
+// nothing if the database is primary already: then no newer term appears within the time
+// of a promotion, and promote returns the present status.
 func (f *Fleet) promote(
 	ctx context.Context, name model.GroupID, chosen databaseStatus,
-) (model.Term, bool) {
+) (statement.ServerStatus, bool) {
 	deadline := clock.Now().Add(becomePrimaryTimeout)
 	accepted := false
 	var lastStatus statement.ServerStatus
@@ -316,7 +271,7 @@
 			f.logEvent(event.PromotionCalled, event.F("group", name),
 				event.F("database", chosen.database.ID), event.F("outcome", outcome(err)))
 			if err != nil && store.OutcomeOf(err) == store.OutcomeRefused {
-				return 0, false
+				return statement.ServerStatus{}, false
 			}
 			if accepted = err == nil; accepted {
 				deadline = clock.Now().Add(becomePrimaryTimeout)
@@ -324,17 +279,17 @@
 		}
 		status, err := f.sendControl(ctx, chosen.database, statement.QueryStatus{})
 		if err == nil && status.Role == model.RolePrimary && status.Term > chosen.status.Term {
-			return status.Term, true
+			return status, true
 		}
 		lastStatus = status
 		sleep(ctx, failoverPollInterval)
 	}
 	if accepted && ctx.Err() == nil && lastStatus.Role == model.RolePrimary {
-		return lastStatus.Term, true
+		return lastStatus, true
 	}
 	f.logEvent(event.ChangeFailed, event.F("group", name),
 		event.F("why", "the promoted database has not become primary"))
-	return 0, false
+	return statement.ServerStatus{}, false
 }
 
 // callPromote calls the platform under a view that shows this instance as the
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -120,12 +120,8 @@
 	startedAt := clock.Now()
 	awaited, err := f.replicas.Await(ctx, replica.Replacement{
 		Group: name, Primary: row.Primary, Term: row.Term, CanResume: row.Phase == lease.PhaseStable,
-		IsBarred: func(id model.DatabaseID) bool { return f.isUnknownToSome(id, claimed.Version) },
-		IsCurrent: func() bool {
-			view := f.Leases.View()
-			return view.Rows[name].Epoch <= claimed.Epoch &&
-				(view.Version < claimed.Version || view.CoordinatorLease.Holder == f.options.StartID)
-		},
+		IsBarred:  func(id model.DatabaseID) bool { return f.isUnknownToSome(id, claimed.Version) },
+		IsCurrent: func() bool { return f.isCarriedOutHere(name, claimed) },
 	})
 	if err != nil {
 		f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", err.Error()))
@@ -182,7 +178,7 @@
 	primary, isSole := solePrimary(others, countOf(awaited.Record.Copies, row.Primary))
 	chosen.isPrimary = isSole && primary == decision.Database && decision.Proof == core.ProofPromoted
 	end := chosen.status.ReceivedPosition
-	chosen.rows = []store.Row{replica.RecordRow(name, awaited.Record), replica.BaseRow(name, end)}
+	chosen.history, chosen.copies = awaited.History, []store.Row{replica.RecordRow(name, awaited.Record)}
 	f.logEvent(event.SuccessorChosen, event.F("group", name), event.F("database", decision.Database),
 		event.F("proof", decision.Proof.String()), event.F("received", end.String()), event.F("missing", awaited.Missing))
 	if decision.Proof == core.ProofNone {
--- a/internal/node/fleet/directory_database.go
+++ b/internal/node/fleet/directory_database.go
@@ -107,7 +107,7 @@
 	current, found := d.entries[decoded.ID]
 	if !found || current.Incarnation != decoded.Incarnation {
 		current = &entry{}
-		if !isFirstList {
+		if !isFirstList && !d.isRemembered(decoded.ID) {
 			current.knownSince = clock.Now()
 		}
 		d.entries[decoded.ID] = current
@@ -135,6 +135,13 @@
 	current.missingSince = time.Time{}
 }
 
+// isRemembered reports whether a database was dropped so recently that all instances still
+// count it in a survey. The directory must be locked.
+func (d *directory) isRemembered(id model.DatabaseID) bool {
+	e, found := d.dropped[id]
+	return found && clock.Since(e.at) < directorySkew/2
+}
+
 // expireDatabases removes the databases whose entry has been missing for longer
 // than missingEntryGrace, and retires those that have been leaving for longer
 // than DrainTimeout.
--- a/internal/node/fleet/survey_test.go
+++ b/internal/node/fleet/survey_test.go
@@ -178,8 +178,15 @@
 	}
 	f.applyDatabaseRows(row("a", 1), true)
 	f.applyDatabaseRows(row("b", 2), false)
+	f.directory.dropped["c"] = droppedDatabase{at: clock.Now().Add(-time.Second)}
+	f.applyDatabaseRows(row("c", 3), false)
+	f.directory.dropped["d"] = droppedDatabase{at: clock.Now().Add(-directorySkew)}
+	f.applyDatabaseRows(row("d", 4), false)
 	const claim = 10
-	got := []bool{f.isUnknownToSome("a", claim), f.isUnknownToSome("b", claim)}
+	var got []bool
+	for _, id := range []model.DatabaseID{"a", "b", "c", "d"} {
+		got = append(got, f.isUnknownToSome(id, claim))
+	}
 	f.Leases.Update(lease.View{Version: claim, ReadStartedAt: clock.Now(), IsMember: true})
 	for _, id := range []model.InstanceID{"z2-1", "z3-1"} {
 		f.receiveGossip(id, message.GossipState{ViewVersion: claim})
@@ -187,7 +194,7 @@
 	got = append(got, f.isUnknownToSome("b", claim))
 	f.directory.entries["b"].knownSince = clock.Now().Add(-maxSurveyViewAge - time.Second)
 	got = append(got, f.isUnknownToSome("b", claim+1))
-	if diff := cmp.Diff([]bool{false, true, false, false}, got); diff != "" {
+	if diff := cmp.Diff([]bool{false, true, false, true, false, false}, got); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/node/replica/await.go
+++ b/internal/node/replica/await.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/replica"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
@@ -39,6 +40,7 @@
 type Outcome struct {
 	Decision replica.Decision
 	Answers  []replica.Answer
+	History  succession.History
 	// Missing are the databases that may have held more, if nothing proves that the log
 	// holds all acknowledged commits.
 	Missing []model.DatabaseID
@@ -105,11 +107,14 @@
 	}
 	copies := k.copiesOf(r.Group, known.record)
 	change := replica.Change{
-		Primary: r.Primary, Term: r.Term, Base: known.base, Copies: copies,
+		Primary: r.Primary, Term: r.Term, Base: known.history.Base(), Copies: copies,
 		Answers: w.identify(answers, listed), CanResume: r.CanResume, IsOverdue: w.isOverdue(),
 	}
 	decision := replica.Decide(change)
-	outcome := Outcome{Decision: decision, Answers: change.Answers, Record: replica.Record{Copies: copies}.AfterPromotion(listed)}
+	outcome := Outcome{
+		Decision: decision, Answers: change.Answers, History: known.history,
+		Record: replica.Record{Copies: copies}.AfterPromotion(listed),
+	}
 	waiting, isWaiting := decision.(replica.Wait)
 	if !isWaiting {
 		return outcome, true
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -26,17 +26,17 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/replica"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
 
 const (
-	// table holds the record of each group, and the end of its primary's log at the
-	// promotion.
+	// table holds the record of each group, and its last promotions.
 	table = "eelgrassfold-replicas"
 	// Prefixes of the table's keys.
-	copiesPrefix = "copies/"
-	basePrefix   = "base/"
+	copiesPrefix  = "copies/"
+	historyPrefix = "history/"
 	// queryInterval is the minimum time between two queries of databases for the record
 	// of a group.
 	queryInterval = time.Second
@@ -81,8 +81,8 @@
 
 // stored is what the store holds about a group.
 type stored struct {
-	record replica.Record
-	base   model.Position
+	record  replica.Record
+	history succession.History
 	// version is the version of the record's row; zero if there is none.
 	version uint64
 }
@@ -92,14 +92,9 @@
 	return &Keeper{options: options, known: map[model.GroupID]stored{}, queriedAt: map[model.GroupID]time.Time{}}
 }
 
-// baseRow is the value of a row with the prefix basePrefix.
-type baseRow struct {
-	Position model.Position `msgpack:"position"`
-}
-
-// BaseRow returns the row with the end of a new primary's log at its promotion.
-func BaseRow(group model.GroupID, position model.Position) store.Row {
-	return store.Row{Table: table, Key: basePrefix + string(group), Value: encode(&baseRow{Position: position})}
+// HistoryRow returns the row with the promotions of a group.
+func HistoryRow(group model.GroupID, history succession.History) store.Row {
+	return store.Row{Table: table, Key: historyPrefix + string(group), Value: encode(&history)}
 }
 
 // RecordRow returns the row with a group's record.
@@ -128,22 +123,25 @@
 			s.version = row.Version
 			k.decode(row, &s.record)
 		}
-		var base baseRow
-		if name, ok := strings.CutPrefix(row.Key, basePrefix); ok && name == string(group) && k.decode(row, &base) {
-			s.base = base.Position
+		if name, ok := strings.CutPrefix(row.Key, historyPrefix); ok && name == string(group) {
+			k.decode(row, &s.history)
 		}
 	}
 	return s, nil
 }
 
-// decode decodes a row's value into target and reports whether that succeeded.
-func (k *Keeper) decode(row store.Row, target any) bool {
-	err := msgpack.Unmarshal(row.Value, target)
-	if err != nil {
+// decode decodes a row's value into target. A value that can't be decoded is logged.
+func (k *Keeper) decode(row store.Row, target any) {
+	if err := msgpack.Unmarshal(row.Value, target); err != nil {
 		k.options.Log(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
 			event.F("error", err.Error()))
 	}
-	return err == nil
+}
+
+// History returns the promotions of a group. Its errors are those of the store.
+func (k *Keeper) History(ctx context.Context, group model.GroupID) (succession.History, error) {
+	s, err := k.read(ctx, group)
+	return s.history, err
 }
 
 // Observe brings the record of a group up to date with the entries of its databases and,
