--- a/internal/node/fleet/survey_test.go
+++ b/internal/node/fleet/survey_test.go
@@ -151,7 +151,8 @@
 	f := newUnstartedFleet(1, 3)
 	now := clock.Now()
 	f.applyDatabaseRows(store.Rows{Version: 1, Rows: []store.Row{
-		{Key: "a", Value: []byte("ratings"), Version: 1}, {Key: "b", Value: []byte("ratings"), Version: 1},
+		{Key: "a", Value: []byte("ratings"), Version: 1},
+		{Key: "b", Value: []byte("ratings"), Version: 1},
 		{Key: "c", Value: []byte("results"), Version: 1},
 	}}, true)
 	for id, at := range map[model.DatabaseID]time.Time{"d": now.Add(time.Second), "e": now.Add(-directorySkew / 2), "f": now.Add(-2 * directorySkew)} {
