Forward the rows of large answers as they come

Cause: an answer was collected whole before its first row was passed on, and copied into one buffer. The budget counted it only once it was there.

--- a/internal/core/statement/statement.go
+++ b/internal/core/statement/statement.go
@@ -92,6 +92,9 @@
 	// MinPosition is the position that the database's log must have reached; zero
 	// means no requirement.
 	MinPosition model.Position
+	// Forward, if set, gets rows of an answer that is too large to be held whole, in their
+	// order. The answer then has the rows after those. An error ends the exchange.
+	Forward func(rows []string) error
 }
 
 // -----------------------------------------------------------------------------
--- a/internal/edge/backend/conn.go
+++ b/internal/edge/backend/conn.go
@@ -100,6 +100,11 @@
 	return replies, nil
 }
 
+// Extend gives the exchange that runs a further time from now on.
+func (c *Conn) Extend(timeout time.Duration) error {
+	return c.net.SetDeadline(time.Now().Add(timeout))
+}
+
 // interruptAtEnd interrupts what waits for a connection once ctx ends. The returned
 // function stops that; it reports false if ctx has ended, so that the deadline of the
 // connection may be changed at any moment.
--- a/internal/edge/session/attempt.go
+++ b/internal/edge/session/attempt.go
@@ -128,13 +128,42 @@
 		state.Prepared = &prepared
 	}
 	att.sentAt = clock.Now()
-	request := statement.Request{ID: req.ID, Statement: req.Statement}
+	request := statement.Request{ID: req.ID, Statement: req.Statement, Forward: func(rows []string) error {
+		return s.forward(req, att, rows)
+	}}
 	if s.transaction == nil {
 		request.MinPosition = att.reservation.MinPosition
 	}
 	return att.conn.RunIn(s.server.requestCtx, timeout, state, request)
 }
 
+// forward writes rows to the caller before the rest of their answer is there. The whole
+// answer has the statement's remaining time. A caller that does not read it in that time is
+// disconnected, since it would keep the connection to the database.
+func (s *session) forward(req *pendingRequest, att *attempt, rows []string) error {
+	req.hasForwarded = true
+	held := s.account.HoldAnswer(sizeOf(rows))
+	defer s.account.Return(held)
+	expiry := time.AfterFunc(req.remaining(), func() { _ = s.conn.Close() })
+	defer expiry.Stop()
+	if err := s.codec.WriteRows(rows); err != nil {
+		return err
+	}
+	if conn, isOwn := att.conn.(*backend.Conn); isOwn && s.server.requestCtx.Err() == nil {
+		return conn.Extend(req.remaining())
+	}
+	return s.server.requestCtx.Err()
+}
+
+// sizeOf returns the size of rows in bytes.
+func sizeOf(rows []string) int {
+	size := 0
+	for _, row := range rows {
+		size += len(row)
+	}
+	return size
+}
+
 // notSent returns the failure for a statement that was not sent to a database, because its
 // connection could not be synchronized with the session or its relay did not run it. It
 // returns nil for any other error. The failure guarantees that nothing was kept, whatever
--- a/internal/edge/session/server.go
+++ b/internal/edge/session/server.go
@@ -323,11 +323,7 @@
 		return false
 	}
 	answer := ses.handle(request, arrivedAt)
-	size := 0
-	for _, row := range answer.Rows {
-		size += len(row)
-	}
-	held := ses.account.HoldAnswer(size)
+	held := ses.account.HoldAnswer(sizeOf(answer.Rows))
 	defer ses.account.Return(held)
 	return ses.codec.WriteAnswer(answer) == nil
 }
--- a/internal/edge/session/server_test.go
+++ b/internal/edge/session/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,6 +80,8 @@
 	return c.write("ok")
 }
 
+func (c *lineCodec) WriteRows(rows []string) error { return c.write(strings.Join(rows, "\n")) }
+
 func (c *lineCodec) write(line string) error {
 	_, err := c.conn.Write([]byte(line + "\n"))
 	return err
--- a/internal/edge/session/session.go
+++ b/internal/edge/session/session.go
@@ -89,7 +89,9 @@
 	// WriteReady accepts the caller. WriteRejection rejects it with the reason.
 	WriteReady() error
 	WriteRejection(failure *statement.FailureError) error
-	// WriteAnswer answers the request read last.
+	// WriteRows writes the first rows of the answer to the request read last.
+	WriteRows(rows []string) error
+	// WriteAnswer answers the request read last, or writes the rest of that answer.
 	WriteAnswer(answer statement.Answer) error
 }
 
@@ -124,6 +126,9 @@
 	// attempts is the number of attempts, queuedFor their total time in queues.
 	attempts  int
 	queuedFor time.Duration
+	// hasForwarded is set once rows of an answer were written to the caller. The statement
+	// is not sent again then.
+	hasForwarded bool
 	// rejected is set once the scheduler has rejected the statement for good.
 	rejected bool
 	// excludedRelays are the relays that have failed to run the statement.
--- a/internal/edge/session/single.go
+++ b/internal/edge/session/single.go
@@ -48,6 +48,9 @@
 				return result.answer
 			}
 			failure = result.reason
+			if req.hasForwarded {
+				return s.logFailure(req, reservation, interrupted(failure), statement.TransactionStateIdle)
+			}
 			s.logRetry(req, reservation, failure.Error())
 			s.excludeAttempt(req, &requirements, att)
 		}
@@ -99,6 +102,11 @@
 	return &statement.FailureError{Code: statement.CodeBusy, Message: "not run (" + failure.Error() + "); " + retryAfterText}
 }
 
+// interrupted returns the failure for a read of whose answer the caller has got a part.
+func interrupted(failure *statement.FailureError) *statement.FailureError {
+	return &statement.FailureError{Code: statement.CodeExecutionFailed, Message: "the answer was interrupted (" + failure.Error() + ")"}
+}
+
 // runAttempt runs a statement at the database of an attempt and ends the attempt.
 func (s *session) runAttempt(req *pendingRequest, att *attempt, isWrite bool) conclusion {
 	timeout := req.remaining()
--- a/internal/edge/session/transaction.go
+++ b/internal/edge/session/transaction.go
@@ -103,7 +103,7 @@
 			reply, err := s.sendStatement(req, att, &begin, req.remaining())
 			s.reportOutcome(att, isWrite, reply, err)
 			if failure = s.notSent(req, err); failure == nil {
-				if reply == nil || reply.Failure == nil || !reply.Failure.Code.GuaranteesNotExecuted() {
+				if reply == nil || reply.Failure == nil || req.hasForwarded || !reply.Failure.Code.GuaranteesNotExecuted() {
 					return s.concludeInTransaction(req, reply, err, true)
 				}
 				failure = reply.Failure
