Keep the later of two connections that a peer has opened

Cause: of two links dialed by the same peer, the one that was registered later replaced the other, although an earlier connection may be registered later. Change: connections are numbered when they are accepted or dialed, and the link with the higher number is kept. Tried and not kept: relays that do not count as silent while this process is starved.

--- a/internal/edge/peer/connections.go
+++ b/internal/edge/peer/connections.go
@@ -37,7 +37,8 @@
 		}
 		select {
 		case t.unauthenticated <- struct{}{}:
-			t.spawn(func() { t.serveAccepted(conn) })
+			number := t.connections.Add(1)
+			t.spawn(func() { t.serveAccepted(conn, number) })
 		default:
 			counters.Add("rejected.strangers", 1)
 			_ = conn.Close()
@@ -46,9 +47,9 @@
 }
 
 // serveAccepted authenticates an accepted connection and serves it.
-func (t *Transport) serveAccepted(conn net.Conn) {
+func (t *Transport) serveAccepted(conn net.Conn, number uint64) {
 	address := addressOf(conn)
-	l, err := t.handshake(t.ctx, conn, roleAcceptor, address)
+	l, err := t.handshake(t.ctx, conn, number, roleAcceptor, address)
 	<-t.unauthenticated
 	if err != nil {
 		t.reportFault("", address, err)
@@ -160,7 +161,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	l, err := t.handshake(ctx, conn, roleDialer, m.target.Address)
+	l, err := t.handshake(ctx, conn, t.connections.Add(1), roleDialer, m.target.Address)
 	if err != nil {
 		t.reportFault(m.peer, m.target.Address, err)
 		return err
@@ -197,7 +198,9 @@
 // handshake turns conn into an authenticated link within the handshake timeout: it
 // performs the TLS handshake, if TLS is configured, and then the exchange of hellos
 // and proofs in the function handshake. It closes conn on an error.
-func (t *Transport) handshake(ctx context.Context, conn net.Conn, ownRole role, address netip.AddrPort) (*link, error) {
+func (t *Transport) handshake(
+	ctx context.Context, conn net.Conn, number uint64, ownRole role, address netip.AddrPort,
+) (*link, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	sess, secured, err := t.authenticate(ctx, conn, ownRole, address)
@@ -205,7 +208,9 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return newLink(secured, sess, ownRole == roleDialer, address), nil
+	l := newLink(secured, sess, ownRole == roleDialer, address)
+	l.number = number
+	return l, nil
 }
 
 func (t *Transport) authenticate(
--- a/internal/edge/peer/edge.go
+++ b/internal/edge/peer/edge.go
@@ -56,6 +56,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -172,8 +173,10 @@
 	listener net.Listener
 	// goroutines is the number of goroutines started by spawn that have not ended.
 	goroutines int
-	links      map[model.InstanceID]*link
-	managers   map[message.PeerTarget]*connectionManager
+	// connections counts the connections that were accepted or dialed.
+	connections atomic.Uint64
+	links       map[model.InstanceID]*link
+	managers    map[message.PeerTarget]*connectionManager
 	// wantedAddresses contains the addresses of the last SetPeers.
 	wantedAddresses map[netip.AddrPort]bool
 }
@@ -342,7 +345,8 @@
 // instance ID is kept; of links dialed by the same end, the newer one.
 func (t *Transport) replaces(l, existing *link) bool {
 	if l.dialed == existing.dialed {
-		return true
+		// The handshakes of two connections may end in the other order.
+		return l.number >= existing.number
 	}
 	selfIsLower := t.options.Instance < l.peer()
 	return l.dialed == selfIsLower
--- a/internal/edge/peer/edge_test.go
+++ b/internal/edge/peer/edge_test.go
@@ -521,3 +521,23 @@
 	deliver(a, b, samples[0])
 	deliver(b, a, samples[0])
 }
+
+// Guards against a link that is replaced by an earlier one of the same peer, whose
+// handshake has taken longer: the peer has given that one up.
+func TestEarlierConnectionDoesNotReplaceLaterOne(t *testing.T) {
+	a := start(t, "a", nil)
+	linkOf := func(number uint64) *link {
+		conn, other := net.Pipe()
+		t.Cleanup(func() { _ = other.Close() })
+		l := newLink(conn, session{peer: "z"}, false, netip.AddrPort{})
+		l.number = number
+		return l
+	}
+	later, earlier, newest := linkOf(12), linkOf(11), linkOf(13)
+	got := []bool{a.register(later), a.register(earlier), a.register(newest)}
+	if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+	a.unregister(newest)
+	a.stop()
+}
--- a/internal/edge/peer/link.go
+++ b/internal/edge/peer/link.go
@@ -23,6 +23,8 @@
 	session session
 	// dialed is true if this instance dialed the connection.
 	dialed bool
+	// number is higher than those of the connections that were opened before.
+	number uint64
 	// address is the address of the other end.
 	address netip.AddrPort
 	queue   *queue
