--- a/internal/core/replica/decide.go
+++ b/internal/core/replica/decide.go
@@ -19,7 +19,7 @@
 	Copies  []Copy
 	Answers []Answer
 	// CanResume is true if no promotion can have been called since the primary was last
-	// in use.
+	// in use: one that takes effect late would make two primaries.
 	CanResume bool
 	// IsOverdue is true if the replicas have had the time to catch up with a primary
 	// that answers.
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -118,8 +118,10 @@
 	ctx context.Context, name model.GroupID, row, claimed lease.GroupRow, record *engine.PromotionRecord,
 ) (successor, bool) {
 	startedAt := clock.Now()
+	// An unfinished failover may have called a promotion that has not taken effect yet.
+	canResume := row.Phase == lease.PhaseStable
 	awaited, err := f.replicas.Await(ctx, replica.Replacement{
-		Group: name, Primary: row.Primary, Term: row.Term, CanResume: row.Phase == lease.PhaseStable,
+		Group: name, Primary: row.Primary, Term: row.Term, CanResume: canResume,
 		IsBarred:  func(id model.DatabaseID) bool { return f.isUnknownToSome(id, claimed.Version) },
 		IsCurrent: func() bool { return f.isCarriedOutHere(name, claimed) },
 	})
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -26,7 +26,9 @@
 //	coordinator.go           when a failover is started
 //	coordinator_lease.go     the coordinator lease: which instance carries it out
 //	coordinator_failover.go  the steps of a failover
-//	coordinator_synchronous.go  the choice of the successor with synchronous replication
+//	coordinator_successor.go the choice of the database to promote
+//	coordinator_synchronous.go
+//	                         the same with synchronous replication
 //	replicas.go              the databases of a group, for package replica
 //	logbook.go               the records of failovers
 //	control.go               control statements to databases
