review: case 12, the returned primary passes for a promoted database

Cause: the first row of a group has term 0, so that the old primary in term 1 counts as the result of an unfinished failover. Change: review/12.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if a write was acknowledged that a replaced primary has committed, 0 if none
+# was, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/_scene -case slow-promotion -program target/eelgrassfold -record review/12/record.txt
