review: case 12 keeps to promotions that take effect a second after their call

Change: the platform carries the call out, goes down for 0.3 s without an answer and refuses the next call. The stand-in's platform and cases are changed with it.

--- a/review/_scene/database.go
+++ b/review/_scene/database.go
@@ -101,7 +101,7 @@
 	d.seq++
 	body, _ := json.Marshal(map[string]any{
 		"service": s.name, "address": d.address, "zone": d.zone, "version": "v1", "slots": 3, "state": "ready",
-		"cold_remaining_ms": 0, "seq": d.seq, "born": d.born, words["role.field"]: role,
+		"seq": d.seq, "born": d.born, words["role.field"]: role, words["cold.field"]: 0,
 	})
 	down := d.down
 	s.mu.Unlock()
--- a/review/_scene/scene.go
+++ b/review/_scene/scene.go
@@ -34,11 +34,14 @@
 	// success of one.
 	commits map[string]commitRecord
 	acked   map[string]time.Time
-	// handlePromote decides about a promotion call: how long it waits before it is handled,
-	// and a status that refuses it, or zero.
-	handlePromote func(call int) (time.Duration, int)
-	calls         int
-	instances     []*instance
+	// downFor is how long the platform is down after it has carried out a promotion call, whose
+	// connection it resets, and maxDowns how often; meanwhile it answers others with 503.
+	downFor   time.Duration
+	maxDowns  int
+	downUntil time.Time
+	called    chan struct{}
+	calls     int
+	instances []*instance
 	// logs holds, for each promotion, the ids of the commits in the log of the new leader.
 	logs []map[string]bool
 }
@@ -102,23 +105,33 @@
 	}
 	sc.mu.Lock()
 	sc.calls++
-	call := sc.calls
-	sc.mu.Unlock()
-	holder, token := r.Header.Get(words["header.holder"]), r.Header.Get(words["header.token"])
-	delay, refusal := time.Duration(0), 0
-	if sc.handlePromote != nil {
-		delay, refusal = sc.handlePromote(call)
+	call, isDown, goesDown := sc.calls, time.Now().Before(sc.downUntil), false
+	if !isDown && sc.maxDowns > 0 {
+		sc.maxDowns--
+		goesDown, sc.downUntil = true, time.Now().Add(sc.downFor)
 	}
-	sc.note("promote call %d: %s by %s with token %s", call, body.ID, holder, token)
-	if refusal != 0 {
-		sc.note("call %d is answered with %d; nothing is done", call, refusal)
-		w.WriteHeader(refusal)
+	sc.mu.Unlock()
+	sc.note("promote call %d: %s by %s with token %s", call, body.ID, r.Header.Get(words["header.holder"]), r.Header.Get(words["header.token"]))
+	if isDown {
+		sc.note("call %d is answered with 503; nothing is done", call)
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(delay)
 	status := sc.service.promote(body.ID)
-	sc.note("call %d is handled: %d", call, status)
-	w.WriteHeader(status)
+	if !goesDown {
+		sc.note("call %d is carried out and answered: %d", call, status)
+		w.WriteHeader(status)
+		return
+	}
+	sc.note("call %d is carried out: %d; the platform goes down and resets its connection", call, status)
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	select {
+	case sc.called <- struct{}{}:
+	default:
+	}
 }
 
 // -----------------------------------------------------------------------------
@@ -235,7 +248,7 @@
 	}
 	sc := &scene{
 		store: newStore(), program: path, folder: folder, began: time.Now(), record: record,
-		commits: map[string]commitRecord{}, acked: map[string]time.Time{},
+		commits: map[string]commitRecord{}, acked: map[string]time.Time{}, called: make(chan struct{}, 1),
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	sc.note("case %s, disruption: %t", *name, trouble)
@@ -284,7 +297,7 @@
 		return 0, err
 	}
 	sc.store.set("op", "config", []byte(strings.ReplaceAll(configTemplate, "SYNC", fmt.Sprint(play.sync))), false)
-	sc.service = &service{name: "ledger1", scene: sc, leaderTerm: 1, syncReplicas: play.sync, meanLag: play.lag, promoteTime: play.promoteTime}
+	sc.service = &service{name: "ledger1", scene: sc, leaderTerm: 1, syncReplicas: play.sync, meanLag: play.lag, promoteTime: time.Second}
 	zones := []string{"lanier", "savannah", "allatoona"}
 	first := []entry{{1, 1, "a", "x", "first1"}, {1, 2, "b", "y", "first2"}}
 	for i, zone := range zones {
