--- a/review/_scene/cases.go
+++ b/review/_scene/cases.go
@@ -34,17 +34,33 @@
 // calmPause is a client's pause between two writes.
 const calmPause = 40 * time.Millisecond
 
-// startWriters starts clients that write at all instances until the given time.
+// sitePause is that with which six clients write about as often as those of the site do in one
+// service.
+const sitePause = 300 * time.Millisecond
+
+// readers is the number of clients that read at each instance.
+const readers = 4
+
+// startWriters starts clients that write at all instances until the given time, and clients that
+// read.
 func (sc *scene) startWriters(base, perInstance int, pause time.Duration, until time.Time) *sync.WaitGroup {
 	var running sync.WaitGroup
+	start := func(run func(time.Time, time.Duration)) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			run(until, pause)
+		}()
+	}
 	for i, in := range sc.instances {
+		address := fmt.Sprintf("%s:%d", in.ip, base)
 		for n := range perInstance {
-			c := &client{sc: sc, name: fmt.Sprintf("c%d%d", i+1, n+1), address: fmt.Sprintf("%s:%d", in.ip, base), route: "finish1"}
-			running.Add(1)
-			go func() {
-				defer running.Done()
-				c.write(until, pause)
-			}()
+			writer := &client{sc: sc, name: fmt.Sprintf("c%d%d", i+1, n+1), address: address, route: "finish1"}
+			start(writer.write)
+		}
+		for n := range readers {
+			reader := &client{sc: sc, name: fmt.Sprintf("r%d%d", i+1, n+1), address: address, route: "pull1"}
+			start(reader.read)
 		}
 	}
 	return &running
@@ -108,30 +124,32 @@
 const (
 	// rounds is how often the primary crashes in twoPromotions, and roundTime the time from one
 	// crash to the next.
-	rounds    = 7
-	roundTime = 12 * time.Second
+	rounds    = 11
+	roundTime = 9 * time.Second
 )
 
-// twoPromotions: the primary crashes, seven times, and is back after five seconds as a replica. The
+// twoPromotions: the primary crashes, up to eleven times, and is back after four seconds as a
+// replica, until the rule is broken. The
 // platform goes down twice each time, for downTime, when it has carried out a promotion call and
 // before it has answered.
 func twoPromotions(sc *scene, base int, trouble bool) error {
 	time.Sleep(3 * time.Second)
-	running := sc.startWriters(base, 2, calmPause, time.Now().Add(rounds*roundTime+2*time.Second))
+	running := sc.startWriters(base, 2, sitePause, time.Now().Add(rounds*roundTime+2*time.Second))
 	time.Sleep(2 * time.Second)
-	for round := 0; trouble && round < rounds; round++ {
+	for round := 0; trouble && round < rounds && len(sc.writesAfterPromotion()) == 0; round++ {
 		began := time.Now()
 		sc.service.mu.Lock()
 		primary := sc.service.leader
 		sc.service.mu.Unlock()
 		sc.goDown(2)
 		primary.crash()
-		time.Sleep(5 * time.Second)
+		time.Sleep(4 * time.Second)
 		if err := primary.comeBack(fmt.Sprintf("i-db%d", 4+round)); err != nil {
 			return err
 		}
 		time.Sleep(time.Until(began.Add(roundTime)))
 	}
+	sc.stopped.Store(trouble)
 	running.Wait()
 	return sc.checkServed()
 }
--- a/review/_scene/client.go
+++ b/review/_scene/client.go
@@ -84,7 +84,7 @@
 
 // write keeps writing until the given time, one statement after the other with a pause between.
 func (c *client) write(until time.Time, pause time.Duration) {
-	for n := 0; time.Now().Before(until); n++ {
+	for n := 0; time.Now().Before(until) && !c.sc.stopped.Load(); n++ {
 		id := fmt.Sprintf("%s-%d", c.name, n)
 		a := c.ask(id, fmt.Sprintf("WRITE %s v%d", c.name, n), 3*time.Second)
 		at := time.Now()
@@ -102,3 +102,11 @@
 		time.Sleep(pause)
 	}
 }
+
+// read keeps reading until the given time, as write does.
+func (c *client) read(until time.Time, pause time.Duration) {
+	for n := 0; time.Now().Before(until) && !c.sc.stopped.Load(); n++ {
+		c.ask(fmt.Sprintf("%s-%d", c.name, n), "READ a", 3*time.Second)
+		time.Sleep(pause)
+	}
+}
--- a/review/_scene/scene.go
+++ b/review/_scene/scene.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 	called    chan struct{}
 	calls     int
 	instances []*instance
+	// stopped ends the clients before their time.
+	stopped atomic.Bool
 	// logs holds, for each promotion, the ids of the commits in the log of the new leader.
 	logs []map[string]bool
 }
