Await a promotion that may still take effect

Cause: a promotion call without an answer may have been carried out. promote forgot it with the attempt: a refusal of the next call ended the attempt, and the next one, or the next coordinator, chose anew. It could call another replica, and record the first one when that led. The second promotion then took effect beside a primary in use.

Change: a call is recorded in the store (calls/GROUP) before it is made, under the failover's claim as precondition. While it may take effect no other database is promoted, and no other is taken for the result: the database of the call leads a newer term, has started again, or is abandoned as lost. Package core/promotion decides that for groups of both kinds, node/promotion calls and records. An error response tells only about its own call: 409 and 429 that it was not carried out, 5xx nothing; a connection that was not opened has sent nothing.

Price: one write a failover, not measured by itself.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -49,8 +49,14 @@
 	PhaseStable Phase = iota
 	// PhaseChanging: the primary is being replaced; the group has no usable primary.
 	PhaseChanging
+	// PhaseGuarded: GroupRow.Primary is the primary, but a promotion that was abandoned may
+	// still replace it without a claim. A view alone does not confirm its answers.
+	PhaseGuarded
 )
 
+// HasPrimary reports whether a row in this phase names a primary that may be used.
+func (p Phase) HasPrimary() bool { return p == PhaseStable || p == PhaseGuarded }
+
 // String returns the name of p for log lines.
 func (p Phase) String() string {
 	switch p {
@@ -58,6 +64,8 @@
 		return "stable"
 	case PhaseChanging:
 		return "changing"
+	case PhaseGuarded:
+		return "guarded"
 	default:
 		return "phase " + strconv.Itoa(int(p))
 	}
@@ -212,7 +220,7 @@
 // view may have expired: Validate checks the grant once the answer has arrived.
 func (t *Table) Grant(group model.GroupID) (Grant, bool) {
 	row, found := t.Row(group)
-	if !found || row.Phase != PhaseStable {
+	if !found || !row.Phase.HasPrimary() {
 		return Grant{}, false
 	}
 	return Grant{Group: group, Primary: row.Primary, Epoch: row.Epoch}, true
@@ -238,7 +246,7 @@
 	defer t.mu.Unlock()
 	row, found := t.view.Rows[grant.Group]
 	switch {
-	case !found || row.Epoch != grant.Epoch || row.Phase != PhaseStable:
+	case !found || row.Epoch != grant.Epoch || !row.Phase.HasPrimary():
 		return ValidityReplaced, t.changed
 	case t.view.IsMember && answeredAt.Before(t.view.ReadStartedAt.Add(Duration)):
 		return ValidityConfirmed, t.changed
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -76,7 +76,8 @@
 	// Promote returns once the platform has accepted the promotion. After an
 	// error with OutcomeUnknown the promotion may still take effect, but only if
 	// the platform has received the call already: no byte of it remains in
-	// transit.
+	// transit. After one with OutcomeRefused or OutcomeNotRunning, this call has
+	// no effect; an earlier one still may.
 	Promote(ctx context.Context, promotion Promotion) error
 }
 
@@ -95,11 +96,17 @@
 	// OutcomeCompacted: the store no longer has the changes after the given
 	// version; the whole table has to be read again.
 	OutcomeCompacted
+	// OutcomeNotRunning: the database to promote is not running, or the platform refuses
+	// it for another reason; nothing was changed.
+	OutcomeNotRunning
+	// OutcomeFailed: the response is an error that does not tell whether the change was
+	// made.
+	OutcomeFailed
 )
 
 // String returns the name of o for log lines.
 func (o Outcome) String() string {
-	return [...]string{"unknown", "refused", "conflict", "history-gone"}[o]
+	return [...]string{"unknown", "refused", "conflict", "history-gone", "not-running", "failed"}[o]
 }
 
 // Error reports a failed call.
--- a/internal/node/fleet/coordinator.go
+++ b/internal/node/fleet/coordinator.go
@@ -28,9 +28,6 @@
 	catchUpTimeout = 600 * time.Millisecond
 	// promoteTimeout bounds one call to the platform.
 	promoteTimeout = 900 * time.Millisecond
-	// becomePrimaryTimeout is how long a promoted database may take to become
-	// primary: three times what the platform states.
-	becomePrimaryTimeout = 3 * time.Second
 	// failoverPollInterval is the time between two checks during a failover.
 	failoverPollInterval = 50 * time.Millisecond
 	// rowVisibleTimeout bounds the wait until a view shows a row that this
--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -8,9 +8,11 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/engine"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	promoter "github.com/eelgrassfold/eelgrassfold/internal/node/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/node/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 )
@@ -21,7 +23,7 @@
 	coordinatorLease lease.CoordinatorLease, reason string,
 ) {
 	startedAt, evidence := clock.Now(), f.evidence(name, row)
-	if f.isSynchronous(name) && row.Phase == lease.PhaseStable && evidence.PrimaryLeaving && !f.awaitCaughtUp(ctx, name, row.Primary) {
+	if f.isSynchronous(name) && row.Phase.HasPrimary() && evidence.PrimaryLeaving && !f.awaitCaughtUp(ctx, name, row.Primary) {
 		sleep(ctx, failoverRetryDelay)
 		return
 	}
@@ -39,20 +41,20 @@
 		return
 	}
 	if !chosen.isPrimary {
-		chosen.status, ok = f.promote(ctx, name, chosen.databaseStatus)
+		chosen, ok = f.promote(ctx, name, chosen)
 	}
 	if !ok {
 		sleep(ctx, failoverRetryDelay)
 		return
 	}
 	newRow := lease.GroupRow{
-		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: chosen.database.ID, Term: chosen.status.Term,
+		Epoch: claimed.Epoch + 1, Phase: phaseWith(chosen.calls), Primary: chosen.database.ID, Term: chosen.status.Term,
 		Coordinator: f.options.StartID, Reason: reason,
 	}
 	record.Primary, record.Term, record.Position = chosen.database.ID, chosen.status.Term,
 		chosen.status.ReceivedPosition.String()
 	record.PromotedAt = time.Now()
-	rows := append(chosen.copies, replica.HistoryRow(name, chosen.history.Add(succession.Promotion{
+	rows := append(chosen.copies, replica.CallsRow(name, chosen.calls), replica.HistoryRow(name, chosen.history.Add(succession.Promotion{
 		Term: chosen.status.Term, Base: chosen.status.ReceivedPosition,
 	})))
 	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record, rows) {
@@ -145,6 +147,10 @@
 		},
 		Upserts: []store.Row{{Table: groupTable, Key: groupKey(name), Value: f.encode(&claimed)}},
 	}
+	if row.Phase == lease.PhaseStable {
+		// No promotion may take effect. While there is no record, that is not known.
+		tx.Upserts = append(tx.Upserts, replica.CallsRow(name, promotion.Calls{}))
+	}
 	if coordinatorLease.Holder != f.options.StartID {
 		ownLease := f.ownLease(coordinatorLease)
 		tx.Upserts = append(tx.Upserts,
@@ -230,86 +236,53 @@
 	// isPrimary is set if an unfinished failover has promoted the database
 	// already.
 	isPrimary bool
+	// attempt calls the promotion. calls are the promotions that may still take effect once
+	// the database leads.
+	attempt *promoter.Attempt
+	calls   promotion.Calls
 	// history holds the promotions of the group so far, copies the row with the record of
 	// its databases if replication is synchronous.
 	history succession.History
 	copies  []store.Row
 }
 
-// succeed waits until no instance uses the old primary and returns the database to
-// promote, or false if there is none now. It adds to the record what the choice is based
-// on.
+// succeed waits until no instance uses the old primary, and until no promotion that was
+// called earlier is awaited. It returns the database to promote, or the one that such a
+// promotion has made the primary, or false if there is none now. It adds to the record what
+// the choice is based on.
 func (f *Fleet) succeed(
 	ctx context.Context, name model.GroupID, row, claimed lease.GroupRow, wasHolder bool, record *engine.PromotionRecord,
 ) (successor, bool) {
-	if f.isSynchronous(name) {
-		f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
-		return f.chooseSynchronous(ctx, name, row, claimed, record)
+	reading, isSynchronous := f.readPromotions(ctx, name, claimed), f.isSynchronous(name)
+	var primaryStatus <-chan databaseStatus
+	if !isSynchronous {
+		primaryStatus = f.queryPrimary(ctx, name, row.Primary)
 	}
-	primaryStatus, history := f.queryPrimary(ctx, name, row.Primary), f.readHistory(ctx, name)
 	f.awaitRevoked(ctx, name, claimed.Version, wasHolder)
-	oldPosition := f.stepDown(ctx, name, primaryStatus)
+	var oldPosition model.Position
+	if !isSynchronous {
+		oldPosition = f.stepDown(ctx, name, primaryStatus)
+	}
 	if !oldPosition.IsZero() {
 		record.FencedDatabases = []engine.FencedDatabase{{Database: row.Primary, Position: oldPosition.String()}}
 	}
-	return f.chooseSuccessor(ctx, &search{name: name, row: row, claimed: claimed, oldPosition: oldPosition, reading: history}, record)
-}
-
-// promote has the platform promote a database and waits until the database is
-// primary in a new term. It returns the database's status then. The platform changes
-// nothing if the database is primary already: then no newer term appears within the time
-// of a promotion, and promote returns the present status.
-func (f *Fleet) promote(
-	ctx context.Context, name model.GroupID, chosen databaseStatus,
-) (statement.ServerStatus, bool) {
-	deadline := clock.Now().Add(becomePrimaryTimeout)
-	accepted := false
-	var lastStatus statement.ServerStatus
-	for clock.Now().Before(deadline) && ctx.Err() == nil {
-		if !accepted {
-			err := f.callPromote(ctx, name, chosen.database.ID)
-			f.logEvent(event.PromotionCalled, event.F("group", name),
-				event.F("database", chosen.database.ID), event.F("outcome", outcome(err)))
-			if err != nil && store.OutcomeOf(err) == store.OutcomeRefused {
-				return statement.ServerStatus{}, false
-			}
-			if accepted = err == nil; accepted {
-				deadline = clock.Now().Add(becomePrimaryTimeout)
-			}
-		}
-		status, err := f.sendControl(ctx, chosen.database, statement.QueryStatus{})
-		if err == nil && status.Role == model.RolePrimary && status.Term > chosen.status.Term {
-			return status, true
-		}
-		lastStatus = status
-		sleep(ctx, failoverPollInterval)
-	}
-	if accepted && ctx.Err() == nil && lastStatus.Role == model.RolePrimary {
-		return lastStatus, true
+	known, isRead := <-reading
+	if !isRead {
+		return successor{}, false
 	}
-	f.logEvent(event.ChangeFailed, event.F("group", name),
-		event.F("why", "the promoted database has not become primary"))
-	return statement.ServerStatus{}, false
-}
-
-// callPromote calls the platform under a view that shows this instance as the
-// holder of the coordinator lease, and cancels the call before that view
-// expires.
-func (f *Fleet) callPromote(ctx context.Context, name model.GroupID, id model.DatabaseID) error {
-	if err := f.readGroups(ctx); err != nil {
-		return err
+	c := f.newChange(name, row, claimed, known)
+	switch settled := f.settle(ctx, c).(type) {
+	case promotion.Led:
+		return f.promotedEarlier(ctx, c, settled)
+	case promotion.Free:
+		c.promotions.Calls = settled.Calls
+	default:
+		return successor{}, false
 	}
-	view := f.Leases.View()
-	if view.CoordinatorLease.Holder != f.options.StartID {
-		return &store.Error{Outcome: store.OutcomeRefused, Cause: &CoordinatorReplacedError{Holder: view.CoordinatorLease.Holder}}
+	if isSynchronous {
+		return f.chooseSynchronous(ctx, c, record)
 	}
-	remaining := view.ReadStartedAt.Add(lease.Duration).Sub(clock.Now())
-	ctx, cancel := context.WithTimeout(ctx, min(remaining, promoteTimeout))
-	defer cancel()
-	return f.options.Promoter.Promote(ctx, store.Promotion{
-		Group: name, Database: id, Holder: view.CoordinatorLease.HolderName,
-		FencingToken: view.CoordinatorLease.FencingToken,
-	})
+	return f.chooseSuccessor(ctx, &search{change: c, oldPosition: oldPosition}, record)
 }
 
 func (f *Fleet) logRowWrite(name model.GroupID, row lease.GroupRow, err error) {
--- a/internal/node/fleet/coordinator_successor.go
+++ b/internal/node/fleet/coordinator_successor.go
@@ -18,18 +18,12 @@
 
 // search is the search for the successor of a primary, without synchronous replication.
 type search struct {
-	fleet   *Fleet
-	name    model.GroupID
-	row     lease.GroupRow
-	claimed lease.GroupRow
+	change
+	fleet *Fleet
 	// oldPosition is how far the log of the old primary reaches; zero if it has not
 	// stepped down.
 	oldPosition model.Position
-	// reading receives the history, or nothing if it can't be read.
-	reading    <-chan succession.History
-	startedAt  time.Time
-	history    succession.History
-	hasHistory bool
+	startedAt   time.Time
 	// presentAt is when a database that has not answered was last known to exist.
 	presentAt time.Time
 	// isWaiting is set once it was logged that the search waits.
@@ -56,7 +50,7 @@
 		case state == searchFound:
 			return chosen, true
 		case state == searchResumed:
-			f.resume(ctx, name, s.row, s.claimed, s.startedAt)
+			f.resume(ctx, s.change, s.startedAt)
 			return successor{}, false
 		case ctx.Err() != nil, state == searchFailed, !f.isCarriedOutHere(name, s.claimed):
 			f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", "no database can take over"))
@@ -82,12 +76,6 @@
 func (s *search) poll(ctx context.Context, record *engine.PromotionRecord) (successor, searchState) {
 	f := s.fleet
 	isOverdue := clock.Since(s.startedAt) > catchUpTimeout
-	if !s.awaitHistory(ctx) {
-		if isOverdue {
-			return successor{}, searchFailed
-		}
-		return successor{}, searchGoesOn
-	}
 	statuses := f.queryAllStatus(ctx, without(f.databasesOf(s.name), s.row.Primary))
 	others := without(f.promotableSince(s.name, s.startedAt), s.row.Primary)
 	candidates, isLost := s.candidates(statuses), false
@@ -111,10 +99,11 @@
 				"the log of %s up to %s is not part of the history that began with term %d; no other database has had an entry for %v",
 				id, statuses[i].status.ReceivedPosition, s.row.Term, f.replicas.Patience()))
 		}
+		chosen := s.successor(statuses[i])
 		// A term above the old primary's is the result of a promotion after it.
 		primary, hasSolePrimary := solePrimary(statuses, len(others))
-		isPrimary := hasSolePrimary && primary == id && statuses[i].status.Term > s.row.Term
-		return successor{databaseStatus: statuses[i], isPrimary: isPrimary, history: s.history}, searchFound
+		chosen.isPrimary = hasSolePrimary && primary == id && chosen.status.Term > s.row.Term
+		return chosen, searchFound
 	case isOverdue:
 		return successor{}, searchFailed
 	default:
@@ -122,33 +111,6 @@
 	}
 }
 
-// awaitHistory waits until the history is read, and reports whether it is known.
-func (s *search) awaitHistory(ctx context.Context) bool {
-	if s.hasHistory {
-		return true
-	}
-	s.history, s.hasHistory = <-s.reading
-	if !s.hasHistory {
-		s.reading = s.fleet.readHistory(ctx, s.name)
-	}
-	return s.hasHistory
-}
-
-// readHistory reads the promotions of a group in the background. The channel is closed
-// without a value if they can't be read.
-func (f *Fleet) readHistory(ctx context.Context, name model.GroupID) <-chan succession.History {
-	histories := make(chan succession.History, 1)
-	f.running.Add(1)
-	go func() {
-		defer f.running.Done()
-		defer close(histories)
-		if history, err := f.replicas.History(ctx, name); err == nil {
-			histories <- history
-		}
-	}()
-	return histories
-}
-
 // candidates returns the databases that answered.
 func (s *search) candidates(statuses []databaseStatus) []succession.Candidate {
 	var candidates []succession.Candidate
@@ -165,7 +127,7 @@
 // isInHistory reports whether a database's log is part of the group's history. A database
 // that has joined the term of the old primary has been rolled back to it.
 func (s *search) isInHistory(status statement.ServerStatus) bool {
-	return s.row.Term > 0 && status.Term >= s.row.Term || s.history.Contains(status.ReceivedPosition)
+	return s.row.Term > 0 && status.Term >= s.row.Term || s.promotions.History.Contains(status.ReceivedPosition)
 }
 
 // withOtherHistories allows the candidates whose logs are not part of the history.
@@ -189,10 +151,10 @@
 		status, err := f.sendControl(ctx, d, statement.QueryStatus{})
 		switch {
 		case err != nil:
-		case status.Role == model.RolePrimary && s.row.Phase == lease.PhaseStable:
+		case status.Role == model.RolePrimary && !s.promotions.Calls.IsIncomplete:
 			return successor{}, searchResumed
 		default:
-			return successor{databaseStatus: databaseStatus{database: d, status: status}, history: s.history}, searchFound
+			return s.successor(databaseStatus{database: d, status: status}), searchFound
 		}
 	}
 	return successor{}, searchGoesOn
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -67,7 +67,7 @@
 			f.replicas.Forget()
 		} else {
 			for _, name := range f.synchronousGroups() {
-				if row, found := view.Rows[name]; found && row.Phase == lease.PhaseStable {
+				if row, found := view.Rows[name]; found && row.Phase.HasPrimary() {
 					f.replicas.Observe(ctx, name, row.Primary)
 				}
 			}
@@ -115,13 +115,11 @@
 // replication: one that is proven to hold all acknowledged commits. It returns false if
 // the failover ends without a promotion.
 func (f *Fleet) chooseSynchronous(
-	ctx context.Context, name model.GroupID, row, claimed lease.GroupRow, record *engine.PromotionRecord,
+	ctx context.Context, c change, record *engine.PromotionRecord,
 ) (successor, bool) {
-	startedAt := clock.Now()
-	// An unfinished failover may have called a promotion that has not taken effect yet.
-	canResume := row.Phase == lease.PhaseStable
+	startedAt, name, row, claimed := clock.Now(), c.name, c.row, c.claimed
 	awaited, err := f.replicas.Await(ctx, replica.Replacement{
-		Group: name, Primary: row.Primary, Term: row.Term, CanResume: canResume,
+		Group: name, Primary: row.Primary, Term: row.Term, CanResume: !c.promotions.Calls.IsIncomplete,
 		IsBarred:  func(id model.DatabaseID) bool { return f.isUnknownToSome(id, claimed.Version) },
 		IsCurrent: func() bool { return f.isCarriedOutHere(name, claimed) },
 	})
@@ -131,7 +129,7 @@
 	}
 	switch decision := awaited.Decision.(type) {
 	case core.Promote:
-		chosen, ok := f.prepare(ctx, name, row, awaited, decision, record)
+		chosen, ok := f.prepare(ctx, c, awaited, decision, record)
 		if !ok && f.isUnknownToSome(decision.Database, claimed.Version) {
 			f.logEvent(event.ChangeFailed, event.F("group", name), event.F("why", "the old primary has not stepped down"))
 			sleep(ctx, failoverRetryDelay)
@@ -139,7 +137,7 @@
 		}
 		return chosen, true
 	case core.Resume:
-		f.resume(ctx, name, row, claimed, startedAt)
+		f.resume(ctx, c, startedAt)
 	case core.Wait:
 		// Await does not return it.
 	}
@@ -150,10 +148,9 @@
 // promote, and false if the old primary has not stepped down. It adds to the record what
 // the choice is based on.
 func (f *Fleet) prepare(
-	ctx context.Context, name model.GroupID, row lease.GroupRow, awaited replica.Outcome, decision core.Promote,
-	record *engine.PromotionRecord,
+	ctx context.Context, c change, awaited replica.Outcome, decision core.Promote, record *engine.PromotionRecord,
 ) (successor, bool) {
-	chosen, hasSteppedDown := successor{}, true
+	name, row, chosen, hasSteppedDown := c.name, c.row, c.successor(databaseStatus{}), true
 	var others []databaseStatus
 	for _, a := range awaited.Answers {
 		status := databaseStatus{database: f.databaseOf(name, a.Copy), status: statement.ServerStatus{
@@ -193,10 +190,11 @@
 
 // resume ends a failover without a promotion: the old primary stays.
 func (f *Fleet) resume(
-	ctx context.Context, name model.GroupID, row, claimed lease.GroupRow, startedAt time.Time,
+	ctx context.Context, c change, startedAt time.Time,
 ) {
+	name, row, claimed := c.name, c.row, c.claimed
 	kept := lease.GroupRow{
-		Epoch: claimed.Epoch + 1, Phase: lease.PhaseStable, Primary: row.Primary, Term: row.Term,
+		Epoch: claimed.Epoch + 1, Phase: phaseWith(c.promotions.Calls), Primary: row.Primary, Term: row.Term,
 		Coordinator: f.options.StartID, Reason: "the primary answers again",
 	}
 	for ctx.Err() == nil {
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -26,6 +26,7 @@
 //	coordinator.go           when a failover is started
 //	coordinator_lease.go     the coordinator lease: which instance carries it out
 //	coordinator_failover.go  the steps of a failover
+//	coordinator_promotion.go the promotions, for package promotion
 //	coordinator_successor.go the choice of the database to promote
 //	coordinator_synchronous.go
 //	                         the same with synchronous replication
@@ -62,6 +63,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/backend"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
+	"github.com/eelgrassfold/eelgrassfold/internal/node/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/node/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/eventlog"
@@ -151,6 +153,7 @@
 	coordination coordination
 	relays       relays
 	replicas     *replica.Keeper
+	promotions   *promotion.Caller
 	leaving      atomic.Bool
 	// storeReachable is set if the store has answered the last call about the table of
 	// groups.
@@ -203,6 +206,7 @@
 		samples:      map[model.GroupID]*fresh.PositionSamples{},
 	}
 	f.replicas = f.newKeeper()
+	f.promotions = f.newPromotions()
 	f.Scheduler.SetRelayPolicy(f)
 	f.Scheduler.SetZoneOptions(f.zoneOptions())
 	return f
--- a/internal/node/fleet/stored_rows.go
+++ b/internal/node/fleet/stored_rows.go
@@ -99,7 +99,7 @@
 			return &model.OutOfRangeError{Field: "address", Value: address.String()}
 		}
 	case *lease.GroupRow:
-		if decoded.Phase != lease.PhaseStable && decoded.Phase != lease.PhaseChanging {
+		if !decoded.Phase.HasPrimary() && decoded.Phase != lease.PhaseChanging {
 			return &model.OutOfRangeError{Field: "phase", Value: strconv.Itoa(int(decoded.Phase))}
 		}
 		if err := model.CheckCounter("epoch", decoded.Epoch); err != nil {
--- a/internal/node/replica/await.go
+++ b/internal/node/replica/await.go
@@ -26,8 +26,7 @@
 	// Primary is the database to replace, Term the lowest term in which it is primary.
 	Primary model.DatabaseID
 	Term    model.Term
-	// CanResume is true if no promotion can have been called since the primary was last
-	// in use.
+	// CanResume is true if no promotion may still take effect.
 	CanResume bool
 	// IsBarred reports whether a database must not be promoted while the old primary may
 	// still be used.
@@ -107,12 +106,12 @@
 	}
 	copies := k.copiesOf(r.Group, known.record)
 	change := replica.Change{
-		Primary: r.Primary, Term: r.Term, Base: known.history.Base(), Copies: copies,
+		Primary: r.Primary, Term: r.Term, Base: known.promotions.History.Base(), Copies: copies,
 		Answers: w.identify(answers, listed), CanResume: r.CanResume, IsOverdue: w.isOverdue(),
 	}
 	decision := replica.Decide(change)
 	outcome := Outcome{
-		Decision: decision, Answers: change.Answers, History: known.history,
+		Decision: decision, Answers: change.Answers, History: known.promotions.History,
 		Record: replica.Record{Copies: copies}.AfterPromotion(listed),
 	}
 	waiting, isWaiting := decision.(replica.Wait)
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -1,5 +1,6 @@
 // Package replica keeps the record of the databases of each group with synchronous
-// replication in the platform's store, and waits until one of them may be promoted.
+// replication in the platform's store, and waits until one of them may be promoted. It also
+// reads the promotions of all groups, which are in the same table.
 //
 // # What flows in and out
 //
@@ -25,6 +26,7 @@
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/replica"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
@@ -32,11 +34,13 @@
 )
 
 const (
-	// table holds the record of each group, and its last promotions.
+	// table holds the record of each group, its last promotions, and those that may still
+	// take effect.
 	table = "eelgrassfold-replicas"
 	// Prefixes of the table's keys.
 	copiesPrefix  = "copies/"
 	historyPrefix = "history/"
+	callsPrefix   = "calls/"
 	// queryInterval is the minimum time between two queries of databases for the record
 	// of a group.
 	queryInterval = time.Second
@@ -81,12 +85,20 @@
 
 // stored is what the store holds about a group.
 type stored struct {
-	record  replica.Record
-	history succession.History
+	record     replica.Record
+	promotions Promotions
 	// version is the version of the record's row; zero if there is none.
 	version uint64
 }
 
+// Promotions is what the store holds about the promotions of a group.
+type Promotions struct {
+	History succession.History
+	// Calls are the promotions that may still take effect. They are incomplete if there is
+	// no record of them.
+	Calls promotion.Calls
+}
+
 // NewKeeper returns a Keeper that knows no record yet.
 func NewKeeper(options Options) *Keeper {
 	return &Keeper{options: options, known: map[model.GroupID]stored{}, queriedAt: map[model.GroupID]time.Time{}}
@@ -97,6 +109,11 @@
 	return store.Row{Table: table, Key: historyPrefix + string(group), Value: encode(&history)}
 }
 
+// CallsRow returns the row with the promotions of a group that may still take effect.
+func CallsRow(group model.GroupID, calls promotion.Calls) store.Row {
+	return store.Row{Table: table, Key: callsPrefix + string(group), Value: encode(&calls)}
+}
+
 // RecordRow returns the row with a group's record.
 func RecordRow(group model.GroupID, record replica.Record) store.Row {
 	return store.Row{Table: table, Key: copiesPrefix + string(group), Value: encode(&record)}
@@ -117,31 +134,55 @@
 	if err != nil {
 		return stored{}, err
 	}
-	var s stored
+	s := stored{promotions: Promotions{Calls: promotion.Calls{IsIncomplete: true}}}
 	for _, row := range rows.Rows {
 		if name, ok := strings.CutPrefix(row.Key, copiesPrefix); ok && name == string(group) {
 			s.version = row.Version
 			k.decode(row, &s.record)
 		}
 		if name, ok := strings.CutPrefix(row.Key, historyPrefix); ok && name == string(group) {
-			k.decode(row, &s.history)
+			k.decode(row, &s.promotions.History)
+		}
+		if name, ok := strings.CutPrefix(row.Key, callsPrefix); ok && name == string(group) {
+			var calls promotion.Calls
+			if k.decode(row, &calls) {
+				s.promotions.Calls = calls
+			}
 		}
 	}
 	return s, nil
 }
 
-// decode decodes a row's value into target. A value that can't be decoded is logged.
-func (k *Keeper) decode(row store.Row, target any) {
-	if err := msgpack.Unmarshal(row.Value, target); err != nil {
+// decode decodes a row's value into target and reports whether that succeeded. A value that
+// can't be decoded is logged.
+func (k *Keeper) decode(row store.Row, target any) bool {
+	err := msgpack.Unmarshal(row.Value, target)
+	if err != nil {
 		k.options.Log(event.ContentRejected, event.F("table", row.Table), event.F("key", row.Key),
 			event.F("error", err.Error()))
 	}
+	return err == nil
 }
 
-// History returns the promotions of a group. Its errors are those of the store.
-func (k *Keeper) History(ctx context.Context, group model.GroupID) (succession.History, error) {
+// Promotions returns the promotions of a group. Its errors are those of the store.
+func (k *Keeper) Promotions(ctx context.Context, group model.GroupID) (Promotions, error) {
 	s, err := k.read(ctx, group)
-	return s.history, err
+	return s.promotions, err
+}
+
+// RecordAfterPromotion returns the row with the record of a group for the time after a
+// promotion. Its errors are those of the store.
+func (k *Keeper) RecordAfterPromotion(ctx context.Context, group model.GroupID) (store.Row, error) {
+	s, err := k.read(ctx, group)
+	if err != nil {
+		return store.Row{}, err
+	}
+	listed, err := k.options.Source.ReadCopies(ctx, group)
+	if err != nil {
+		return store.Row{}, err
+	}
+	record := replica.Record{Copies: k.copiesOf(group, s.record)}
+	return RecordRow(group, record.AfterPromotion(listed)), nil
 }
 
 // Observe brings the record of a group up to date with the entries of its databases and,
--- a/internal/report/event/event_coordinator.go
+++ b/internal/report/event/event_coordinator.go
@@ -90,10 +90,20 @@
 		Text:   "The record of the databases that may hold acknowledged commits has changed.",
 		Fields: []string{"group", "databases", "outcome"},
 	}
+	PromotionsRecorded = Event{
+		Number: 436, Name: "promotions-recorded", Level: LevelInfo,
+		Text:   "The record of the promotions of a group that may still take effect is written, before a promotion is called or after one is abandoned.",
+		Fields: []string{"group", "databases", "outcome"},
+	}
+	PromotionAwaited = Event{
+		Number: 437, Name: "promotion-awaited", Level: LevelInfo,
+		Text:   "A failover waits for a promotion that was called and may still take effect; no other database is promoted meanwhile.",
+		Fields: []string{"group", "database", "term"},
+	}
 )
 
 var coordinatorEvents = []Event{
 	GroupRowSeen, GroupRowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
 	CoordinatorLeaseWritten, LeasesRevoked, GroupSurveyed, SuccessorAwaited, SuccessorChosen, ChangeAbandoned, ChangePostponed,
-	ReplicaRecordWritten,
+	ReplicaRecordWritten, PromotionsRecorded, PromotionAwaited,
 }
