Take only a newer term for the result of a promotion

Cause: the first row of a group has term 0, and the search for a successor took any sole primary above the row's term for the result of the unfinished failover. The old primary leads its own term.

Change: without a known term the log tells whether a primary has been promoted, as it ends in an earlier term until the first commit. Where all calls are known and none may take effect, a primary in the row's term is the old one under another ID and stays without a call. The database that leads the newest term is taken whatever the lengths of the logs.

--- a/internal/core/promotion/promotion.go
+++ b/internal/core/promotion/promotion.go
@@ -157,3 +157,13 @@
 		return Free{Calls: remaining}
 	}
 }
+
+// IsTakenOver reports whether a database that answers as primary has become it after another
+// one, whose lowest term as primary is given (zero if that is not known). Without a known
+// term, the log tells: it ends in an earlier term until the first commit.
+func IsTakenOver(term, lowest model.Term, end model.Position) bool {
+	if lowest > 0 {
+		return term > lowest
+	}
+	return term > end.Term
+}
--- a/internal/core/promotion/promotion_test.go
+++ b/internal/core/promotion/promotion_test.go
@@ -107,3 +107,13 @@
 	}
 	compareGolden(t, "testdata/settlements.golden", lines)
 }
+
+// Guards against an old primary that is taken for a promoted database in the first failover
+// of a group, whose row does not tell the term.
+func TestIsTakenOver(t *testing.T) {
+	end := model.Position{Term: 1, Offset: 9}
+	got := []bool{IsTakenOver(1, 0, end), IsTakenOver(2, 0, end), IsTakenOver(2, 2, end), IsTakenOver(3, 2, end)}
+	if diff := cmp.Diff([]bool{false, true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/node/fleet/coordinator_successor.go
+++ b/internal/node/fleet/coordinator_successor.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/placement"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/statement"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 	"github.com/eelgrassfold/eelgrassfold/internal/report/event"
@@ -78,6 +79,11 @@
 	isOverdue := clock.Since(s.startedAt) > catchUpTimeout
 	statuses := f.queryAllStatus(ctx, without(f.databasesOf(s.name), s.row.Primary))
 	others := without(f.promotableSince(s.name, s.startedAt), s.row.Primary)
+	if primary, found := s.newestPrimary(statuses); found {
+		chosen := s.successor(primary)
+		chosen.isPrimary = true
+		return chosen, searchFound
+	}
 	candidates, isLost := s.candidates(statuses), false
 	id, found := succession.ChooseCandidate(candidates, model.Position{})
 	if isBarred := func(c succession.Candidate) bool { return c.IsBarred }; !found && slices.ContainsFunc(candidates, isBarred) {
@@ -100,9 +106,7 @@
 				id, statuses[i].status.ReceivedPosition, s.row.Term, f.replicas.Patience()))
 		}
 		chosen := s.successor(statuses[i])
-		// A term above the old primary's is the result of a promotion after it.
-		primary, hasSolePrimary := solePrimary(statuses, len(others))
-		chosen.isPrimary = hasSolePrimary && primary == id && chosen.status.Term > s.row.Term
+		chosen.isPrimary = s.isPresentPrimary(chosen.status)
 		return chosen, searchFound
 	case isOverdue:
 		return successor{}, searchFailed
@@ -111,6 +115,30 @@
 	}
 }
 
+// isPresentPrimary reports whether a database that is chosen need not be promoted, as it is
+// the primary already: as no promotion may take effect that is not known, it is the old
+// primary under another ID, or the result of a promotion.
+func (c *change) isPresentPrimary(status statement.ServerStatus) bool {
+	isPrimary := status.Role == model.RolePrimary
+	return isPrimary && (!c.promotions.Calls.IsIncomplete && status.Term >= c.row.Term || c.isTakenOver(status))
+}
+
+// isTakenOver reports whether a database has become the primary after the one to replace.
+func (c *change) isTakenOver(status statement.ServerStatus) bool {
+	return status.Role == model.RolePrimary && promotion.IsTakenOver(status.Term, c.row.Term, status.ReceivedPosition)
+}
+
+// newestPrimary returns the database that has become the primary last, if one has.
+func (c *change) newestPrimary(statuses []databaseStatus) (databaseStatus, bool) {
+	var newest databaseStatus
+	for _, d := range statuses {
+		if c.isTakenOver(d.status) && (newest.database.ID == "" || d.status.Term > newest.status.Term) {
+			newest = d
+		}
+	}
+	return newest, newest.database.ID != ""
+}
+
 // candidates returns the databases that answered.
 func (s *search) candidates(statuses []databaseStatus) []succession.Candidate {
 	var candidates []succession.Candidate
