--- a/internal/core/replica/decide.go
+++ b/internal/core/replica/decide.go
@@ -4,12 +4,14 @@
 	"slices"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/core/promotion"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/succession"
 )
 
 // Change is the replacement of a primary that no instance uses any more.
 type Change struct {
-	// Primary is the database to replace, Term the lowest term in which it is primary.
+	// Primary is the database to replace, Term the lowest term in which it is primary;
+	// zero if it is the first primary of the group.
 	Primary model.DatabaseID
 	Term    model.Term
 	// Base is the end of the primary's log at its promotion. All later logs hold it.
@@ -18,8 +20,8 @@
 	// have answered since no instance uses the primary.
 	Copies  []Copy
 	Answers []Answer
-	// CanResume is true if no promotion can have been called since the primary was last
-	// in use: one that takes effect late would make two primaries.
+	// CanResume is true if no promotion may still take effect: with the primary, it would
+	// make two.
 	CanResume bool
 	// IsOverdue is true if the replicas have had the time to catch up with a primary
 	// that answers.
@@ -103,7 +105,7 @@
 }
 
 // promoted returns the primary of the newest term, if it has become primary after the
-// one to replace.
+// one to replace. That may be another start of it under another ID, in its own term.
 func (c Change) promoted() (model.DatabaseID, bool) {
 	var newest Answer
 	for _, a := range c.Answers {
@@ -111,7 +113,8 @@
 			newest = a
 		}
 	}
-	return newest.ID, newest.ID != "" && newest.ID != c.Primary && newest.Term > c.Term
+	isOther := newest.ID != "" && newest.ID != c.Primary
+	return newest.ID, isOther && promotion.IsTakenOver(newest.Term, c.Term, newest.Position)
 }
 
 // wholePrimary returns the primary to replace, or the database that its log was
--- a/internal/core/replica/decide_test.go
+++ b/internal/core/replica/decide_test.go
@@ -76,6 +76,13 @@
 	heir.Copies[2].Leaving = true
 	refilled := changeOf(answer("a", 18, restarted), answer("b", 15))
 	refilled.Copies[0] = Copy{ID: "a", Incarnation: 2, Floor: position(2, 19)}
+	// The row of a group's first primary does not tell its term.
+	first := func(answers ...Answer) Change {
+		c := changeOf(answers...)
+		c.Term, c.Base = 0, model.Position{}
+		return c
+	}
+	returned := func(a *Answer) { a.ID, a.IsPrimary = "q", true }
 	var lines []string
 	for _, c := range []struct {
 		name   string
@@ -113,6 +120,9 @@
 		{"the primary has lost its log, all replicas answer", changeOf(answer("p", 0, empty), answer("a", 15), answer("b", 14))},
 		{"another was promoted already", changeOf(answer("a", 20, promoted), answer("b", 25))},
 		{"another was promoted already, the primary answers", changeOf(answer("p", 30, leads), answer("a", 20, promoted))},
+		{"the primary is back under another ID", changeOf(answer("p", 20, returned), answer("a", 15), answer("b", 14))},
+		{"the first primary is back under another ID", first(answer("p", 20, returned), answer("a", 15))},
+		{"the first primary is back, another was promoted already", first(answer("p", 20, returned), answer("a", 15, promoted), answer("b", 14))},
 	} {
 		lines = append(lines, c.name+": "+describe(Decide(c.change))+"\n")
 	}
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -151,7 +151,6 @@
 	ctx context.Context, c change, awaited replica.Outcome, decision core.Promote, record *engine.PromotionRecord,
 ) (successor, bool) {
 	name, row, chosen, hasSteppedDown := c.name, c.row, c.successor(databaseStatus{}), true
-	var others []databaseStatus
 	for _, a := range awaited.Answers {
 		status := databaseStatus{database: f.databaseOf(name, a.Copy), status: statement.ServerStatus{
 			Role: model.RoleReplica, Term: a.Term, ReceivedPosition: a.Position,
@@ -163,7 +162,6 @@
 			chosen.databaseStatus = status
 		}
 		if a.ID != row.Primary {
-			others = append(others, status)
 			continue
 		}
 		record.FencedDatabases = []engine.FencedDatabase{{Database: row.Primary, Position: a.Position.String()}}
@@ -174,8 +172,7 @@
 				event.F("received", a.Position.String()), event.F("outcome", outcome(err)))
 		}
 	}
-	primary, isSole := solePrimary(others, countOf(awaited.Record.Copies, row.Primary))
-	chosen.isPrimary = isSole && primary == decision.Database && decision.Proof == core.ProofPromoted
+	chosen.isPrimary = decision.Database != row.Primary && c.isPresentPrimary(chosen.status)
 	end := chosen.status.ReceivedPosition
 	chosen.history, chosen.copies = awaited.History, []store.Row{replica.RecordRow(name, awaited.Record)}
 	f.logEvent(event.SuccessorChosen, event.F("group", name), event.F("database", decision.Database),
@@ -214,17 +211,6 @@
 	f.awaitEpoch(ctx, name, kept.Epoch)
 }
 
-// countOf returns the number of databases other than one.
-func countOf(copies []core.Copy, excluded model.DatabaseID) int {
-	count := 0
-	for _, c := range copies {
-		if c.ID != excluded {
-			count++
-		}
-	}
-	return count
-}
-
 func joinIDs(ids []model.DatabaseID) string {
 	var texts []string
 	for _, id := range ids {
