Check abandoned promotions before an answer is confirmed

What callers saw: nothing yet; without this, a group that goes on without a called database that is lost would acknowledge writes at the next primary after the lost one has taken over, which rolls them back. Waiting for it for ever would be the alternative.

Cause: such a promotion replaces the primary without a claim, so that a view of the table of groups does not prove that the primary still leads.

Change: a called database counts as lost if the platform says that it is not running and it does not answer, or if it has had no entry and given no answer for 2.5 s. The group's row is then in the new phase "guarded": an answer of the primary counts only after the lost database was seen not to lead at a later moment. If the lost database leads, the coordinator records it; if it has started again or another one has its address, the guard ends. Rounds of queries are now written once, for surveys and guards; the test of surveys sets the round's result by its new name.

--- a/internal/core/promotion/promotion_test.go
+++ b/internal/core/promotion/promotion_test.go
@@ -108,6 +108,38 @@
 	compareGolden(t, "testdata/settlements.golden", lines)
 }
 
+// Guards against an answer of the next primary that counts although the promotion of a lost
+// database has taken effect after all.
+func TestCheck(t *testing.T) {
+	entry := func(w *Watched) { w.HasEntry = true }
+	refusing := func(w *Watched) { w.IsRefusing = true }
+	watch := func(s Sighting, changes ...func(*Watched)) Watched {
+		w := Watched{Sighting: s}
+		for _, change := range changes {
+			change(&w)
+		}
+		return w
+	}
+	var lines []string
+	for _, c := range []struct {
+		name    string
+		watched []Watched
+	}{
+		{"no call", nil},
+		{"it has no entry and does not answer", []Watched{watch(called("a"))}},
+		{"it has an entry and does not answer", []Watched{watch(called("a"), entry)}},
+		{"it has an entry and refuses", []Watched{watch(called("a"), entry, refusing)}},
+		{"it follows", []Watched{watch(called("a", follows), entry)}},
+		{"it leads", []Watched{watch(called("a", leads), entry)}},
+		{"it has started again", []Watched{watch(called("a", follows, replaced), entry)}},
+		{"one has started again, one follows", []Watched{watch(called("a", replaced)), watch(called("b", follows))}},
+		{"one does not answer, one leads", []Watched{watch(called("a"), entry), watch(called("b", leads))}},
+	} {
+		lines = append(lines, c.name+": "+Check(c.watched).String())
+	}
+	compareGolden(t, "testdata/guards.golden", lines)
+}
+
 // Guards against an old primary that is taken for a promoted database in the first failover
 // of a group, whose row does not tell the term.
 func TestIsTakenOver(t *testing.T) {
--- a/internal/node/fleet/confirm.go
+++ b/internal/node/fleet/confirm.go
@@ -40,6 +40,19 @@
 // all databases of the group is queried.
 func (f *Fleet) ConfirmPrimary(
 	ctx context.Context, grant lease.Grant, answeredAt time.Time,
+) lease.Validity {
+	row, found := f.Leases.Row(grant.Group)
+	validity := f.confirmLease(ctx, grant, answeredAt)
+	// Within an epoch, a group is guarded from its beginning or not at all.
+	if validity == lease.ValidityConfirmed && found && row.Epoch == grant.Epoch && row.Phase == lease.PhaseGuarded {
+		return f.confirmGuard(ctx, grant, answeredAt)
+	}
+	return validity
+}
+
+// confirmLease returns the validity of a grant by the views and surveys alone.
+func (f *Fleet) confirmLease(
+	ctx context.Context, grant lease.Grant, answeredAt time.Time,
 ) lease.Validity {
 	if validity := f.Leases.Validate(grant, answeredAt); validity != lease.ValidityPending {
 		return validity
--- a/internal/node/fleet/coordinator.go
+++ b/internal/node/fleet/coordinator.go
@@ -93,6 +93,9 @@
 			}
 		}
 		reason, needed := "the change was left unfinished", row.Phase == lease.PhaseChanging
+		if row.Phase == lease.PhaseGuarded && held.Holder == f.options.StartID && f.watchGuard(ctx, name, row) {
+			reason, needed = "an abandoned promotion has taken effect", true
+		}
 		if !needed {
 			reason, needed = succession.FailoverReason(f.evidence(name, row))
 		}
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -18,6 +18,8 @@
 //	readiness.go             whether the platform should send callers to this instance
 //	leases.go                the table of groups: views, and the first rows
 //	confirm.go               confirmation of primaries, for sessions
+//	guard.go                 confirmation while an abandoned promotion may take effect
+//	rounds.go                queries of databases that goroutines share
 //	survey.go                confirmation while neither the store nor a peer answers
 //	peers.go                 the other instances: which are alive, which is the first
 //	peers_member.go          the members: the listed instances, which use leases
@@ -144,6 +146,7 @@
 	rejectedRows rejections
 	peers        peers
 	surveys      surveys
+	guards       guards
 	groupGossip  groupGossip
 	readTimeouts readTimeouts
 	limits       *limits
@@ -197,7 +200,6 @@
 		renewal:      renewal{requested: make(chan struct{}, 1)},
 		peers:        newPeers(),
 		surveys: surveys{
-			rounds:    map[model.GroupID]*round{},
 			confirmed: map[model.GroupID]time.Time{},
 			pending:   map[time.Duration]chan message.PrimarySurveyResponse{},
 		},
--- a/internal/node/fleet/survey.go
+++ b/internal/node/fleet/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
@@ -36,8 +35,7 @@
 // therefore only the fallback, and one instance of each availability zone runs
 // it for all.
 type surveys struct {
-	mu     sync.Mutex
-	rounds map[model.GroupID]*round
+	rounds[survey]
 	// confirmed holds when a round last confirmed each group's primary.
 	confirmed map[model.GroupID]time.Time
 	// pending holds the requests to peers that wait for a response. The key is
@@ -45,11 +43,8 @@
 	pending map[time.Duration]chan message.PrimarySurveyResponse
 }
 
-// round is one survey of a group, by this instance or by a peer for it, shared by
-// all goroutines that wait for it.
-type round struct {
-	startedAt time.Time
-	done      chan struct{}
+// survey is the result of a round of surveys, by this instance or by a peer for it.
+type survey struct {
 	// primary is the only primary of the group if confirmed is set.
 	primary   model.DatabaseID
 	confirmed bool
@@ -58,54 +53,24 @@
 // confirm reports whether a round that started after answeredAt has shown that
 // the primary of grant is the only one.
 func (s *surveys) confirm(ctx context.Context, f *Fleet, grant lease.Grant, answeredAt time.Time) bool {
-	r, found := s.roundAfter(ctx, f, grant.Group, answeredAt)
+	r, found := s.surveyAfter(ctx, f, grant.Group, answeredAt)
 	return found && r.confirmed && r.primary == grant.Primary
 }
 
-// roundAfter returns the first round that started after a moment, and starts
+// surveyAfter returns the result of the first round that started after a moment, and starts
 // rounds itself if none is running. It returns false if ctx ends first.
-func (s *surveys) roundAfter(
-	ctx context.Context, f *Fleet, name model.GroupID, moment time.Time,
-) (*round, bool) {
-	for ctx.Err() == nil {
-		r, isNew := s.join(name)
-		if isNew {
-			s.start(f, name, r)
-		}
-		select {
-		case <-r.done:
-		case <-ctx.Done():
-			return nil, false
-		}
-		if r.startedAt.After(moment) {
-			return r, true
-		}
-	}
-	return nil, false
-}
-
-// join returns the round that is running and false, or a new one, which must
-// then be run, and true.
-func (s *surveys) join(name model.GroupID) (*round, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r, found := s.rounds[name]; found {
-		return r, false
-	}
-	r := &round{startedAt: clock.Now(), done: make(chan struct{})}
-	s.rounds[name] = r
-	return r, true
+func (s *surveys) surveyAfter(ctx context.Context, f *Fleet, name model.GroupID, moment time.Time) (survey, bool) {
+	return s.after(ctx, name, moment, func(r *round[survey]) { s.start(f, name, r) })
 }
 
 // endRound ends a round and wakes the goroutines that wait for it.
-func (s *surveys) endRound(name model.GroupID, r *round) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.rounds, name)
-	if r.confirmed {
+func (s *surveys) endRound(name model.GroupID, r *round[survey]) {
+	if r.result.confirmed {
+		s.mu.Lock()
 		s.confirmed[name] = clock.Now()
+		s.mu.Unlock()
 	}
-	close(r.done)
+	s.end(name, r)
 }
 
 // isRecent reports whether a survey has confirmed a group's primary less than
@@ -125,18 +90,18 @@
 
 // start runs a round in the background. The round does not end with the request that
 // started it, since others wait for it as well, and does not hold it up either.
-func (s *surveys) start(f *Fleet, name model.GroupID, r *round) {
+func (s *surveys) start(f *Fleet, name model.GroupID, r *round[survey]) {
 	f.running.Add(1)
 	go func() {
 		defer f.running.Done()
-		f.runRound(f.lifetime, name, r)
+		f.runRound(f.lifetime, name, &r.result)
 		s.endRound(name, r)
 	}()
 }
 
 // runRound runs a round. If this instance is not a member or what it knows is older than
 // maxSurveyViewAge, the round confirms nothing and ends at once.
-func (f *Fleet) runRound(ctx context.Context, name model.GroupID, r *round) {
+func (f *Fleet) runRound(ctx context.Context, name model.GroupID, r *survey) {
 	view := f.Leases.View()
 	if !view.IsMember || clock.Since(view.ReadStartedAt) > maxSurveyViewAge {
 		return
@@ -220,7 +185,7 @@
 		ctx, cancel := context.WithTimeout(f.lifetime, peerSurveyTimeout)
 		defer cancel()
 		response := message.PrimarySurveyResponse{Group: request.Group, SenderClock: request.SenderClock}
-		if r, found := f.surveys.roundAfter(ctx, f, request.Group, receivedAt); found {
+		if r, found := f.surveys.surveyAfter(ctx, f, request.Group, receivedAt); found {
 			response.Primary, response.Confirmed = r.primary, r.confirmed
 		}
 		f.peers.links.HandleAction(message.SendPeer{To: from, Body: response})
--- a/internal/node/fleet/survey_test.go
+++ b/internal/node/fleet/survey_test.go
@@ -107,7 +107,7 @@
 		t.Fatal("a round is running already")
 	}
 	f.Post(message.PeerMessageReceived{From: "z1-2", Body: message.PrimarySurveyRequest{Group: "ratings", SenderClock: 7}})
-	running.primary, running.confirmed = "a", true
+	running.result = survey{primary: "a", confirmed: true}
 	f.surveys.endRound("ratings", running)
 	if diff := cmp.Diff(message.PrimarySurveyResponse{Group: "ratings", SenderClock: 7}, <-answers); diff != "" {
 		t.Errorf("the response is that of the round that was already running: %s", diff)
--- a/internal/report/event/event_coordinator.go
+++ b/internal/report/event/event_coordinator.go
@@ -100,10 +100,16 @@
 		Text:   "A failover waits for a promotion that was called and may still take effect; no other database is promoted meanwhile.",
 		Fields: []string{"group", "database", "term"},
 	}
+	GuardChecked = Event{
+		Number: 438, Name: "guard-checked", Level: LevelInfo,
+		Text: "The databases of abandoned promotions were queried, and the result differs from the one before: clear, unknown, " +
+			"taken over if one of them leads, settled if none can lead any more.",
+		Fields: []string{"group", "databases", "result"},
+	}
 )
 
 var coordinatorEvents = []Event{
 	GroupRowSeen, GroupRowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
 	CoordinatorLeaseWritten, LeasesRevoked, GroupSurveyed, SuccessorAwaited, SuccessorChosen, ChangeAbandoned, ChangePostponed,
-	ReplicaRecordWritten, PromotionsRecorded, PromotionAwaited,
+	ReplicaRecordWritten, PromotionsRecorded, PromotionAwaited, GuardChecked,
 }
