--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -17,6 +17,9 @@
 // did as the primary. A view of the same epoch whose read started after an answer
 // confirms that answer in the same way, however old the answer is.
 //
+// In PhaseGuarded a promotion may take effect that no row announces. The Validity then
+// says only that no claim has replaced the primary; the caller checks the rest.
+//
 // # Usage
 //
 //	table := lease.NewTable()
