--- a/internal/node/promotion/promotion.go
+++ b/internal/node/promotion/promotion.go
@@ -109,9 +109,9 @@
 	// mayTakeEffect is true unless all calls of the promotion are known not to have been
 	// carried out.
 	mayTakeEffect bool
-	// callAt is when the promotion is to be called, acceptedAt when the platform has
-	// accepted a call; zero if it has not.
-	callAt, acceptedAt time.Time
+	// callAt is when the promotion is to be called, calledAt when it was called last,
+	// acceptedAt when the platform has accepted a call; zero if it has not.
+	callAt, calledAt, acceptedAt time.Time
 	// isStopped is set if the platform has reported that the database is not running.
 	isStopped bool
 	// presentAt is when the database was last known to exist, status what it reported last.
@@ -215,7 +215,7 @@
 	a.options.Log(event.PromotionCalled, event.F("group", a.change.Group),
 		event.F("database", call.Database), event.F("outcome", outcomeText(err)))
 	p, now, outcome := a.progress[call.Database], clock.Now(), store.OutcomeOf(err)
-	p.isStopped = false
+	p.isStopped, p.calledAt = false, now
 	switch {
 	case err == nil:
 		p.mayTakeEffect, p.acceptedAt, p.callAt = true, now, now.Add(effectTimeout)
@@ -240,6 +240,10 @@
 		if r.err == nil {
 			p.status = r.status
 		}
+		if isRefusal(r.err) && !p.isStopped {
+			// The platform may know that it is not running.
+			p.callAt = p.calledAt.Add(refusedDelay)
+		}
 		if r.err == nil || isAnswer(r.err) || hasEntry(entries, call) || !a.options.Source.AreEntriesCurrent() {
 			p.presentAt = now
 		}
