Drop a lost database from the record while callers write

Cause: a lost database leaves the record once another replica has reached the end of the primary's log. That end was taken anew at each observation and moved on with the writes; the replicas lag, so that none ever had it.

Change: the end of the first observation in which the database was gone is kept in memory. It has received nothing later. After a gap of 2 s between observations, or with another primary, the end is taken anew, since the database may have been back.

--- a/internal/core/replica/model_test.go
+++ b/internal/core/replica/model_test.go
@@ -26,7 +26,10 @@
 type modelGroup struct {
 	databases []*modelDatabase
 	primary   *modelDatabase
+	// primaryID is the ID under which callers use the primary.
+	primaryID model.DatabaseID
 	record    Record
+	gone      Gone
 	base      model.Position
 	// acknowledged are the commits that callers were told of.
 	acknowledged []model.Position
@@ -39,7 +42,7 @@
 		g.add()
 	}
 	g.primary = g.databases[0]
-	g.primary.isPrimary = true
+	g.primary.isPrimary, g.primaryID = true, g.primary.ID
 	g.observe()
 	return g
 }
@@ -66,7 +69,7 @@
 // receives it.
 func (g *modelGroup) commit() {
 	p := g.primary
-	if p.isDown || !p.isPrimary {
+	if p.isDown || !p.isPrimary || p.ID != g.primaryID {
 		return
 	}
 	made := model.Position{Term: p.term, Offset: p.end().Offset + 1}
@@ -114,11 +117,13 @@
 
 // observe updates the record as the coordinator does while the primary is in use.
 func (g *modelGroup) observe() {
-	o := Observation{Primary: g.primary.ID, Listed: g.listed()}
-	if !g.primary.isDown && g.primary.isPrimary && g.record.NeedsAnswers(o.Listed) {
+	o := Observation{Primary: g.primaryID, Listed: g.listed()}
+	if !g.primary.isDown && g.primary.isPrimary && g.primary.ID == g.primaryID && g.record.NeedsAnswers(o.Listed) {
 		o.PrimaryEnd = g.primary.end()
 		o.Answers = g.answers(func(d *modelDatabase) bool { return d != g.primary })
 	}
+	o.Gone = g.gone
+	g.gone = g.record.Gone(o)
 	g.record, _ = g.record.Observe(o)
 }
 
@@ -127,7 +132,7 @@
 func (g *modelGroup) fail(t *rapid.T, reached map[model.DatabaseID]bool) {
 	merged, _ := g.record.Observe(Observation{Listed: g.listed()})
 	decision := Decide(Change{
-		Primary: g.primary.ID, Term: g.primary.term, Base: g.base, Copies: merged.Copies, CanResume: true, IsOverdue: true,
+		Primary: g.primaryID, Term: g.primary.term, Base: g.base, Copies: merged.Copies, CanResume: true, IsOverdue: true,
 		Answers: g.answers(func(d *modelDatabase) bool { return reached[d.ID] }),
 	})
 	promote, ok := decision.(Promote)
@@ -141,8 +146,13 @@
 			t.Fatalf("%s is promoted (%s) with a log up to %s, without the acknowledged commit %s", promote.Database, describe(promote), chosen.end(), a)
 		}
 	}
+	if chosen == g.primary && chosen.isPrimary && chosen.ID != g.primaryID {
+		// It stays, under its other ID.
+		g.primaryID, g.record, g.gone = chosen.ID, merged.AfterPromotion(g.listed()), nil
+		return
+	}
 	g.promote(chosen)
-	g.base, g.record = chosen.end(), merged.AfterPromotion(g.listed())
+	g.base, g.record, g.gone = chosen.end(), merged.AfterPromotion(g.listed()), nil
 }
 
 func (g *modelGroup) promote(chosen *modelDatabase) {
@@ -153,7 +163,7 @@
 	if !g.primary.isDown {
 		g.primary.isPrimary = false
 	}
-	chosen.isPrimary, chosen.term, g.primary = true, term+1, chosen
+	chosen.isPrimary, chosen.term, g.primary, g.primaryID = true, term+1, chosen, chosen.ID
 }
 
 // change changes the state of one database other than the primary, or crashes that.
@@ -161,8 +171,11 @@
 	switch {
 	case kind == "crash":
 		d.isDown = true
-	case kind == "return" && d.isDown:
+	case (kind == "return" || kind == "return under another ID") && d.isDown:
 		g.started++
+		if kind != "return" {
+			d.ID = model.DatabaseID(fmt.Sprint("d", g.started))
+		}
 		d.isDown, d.isListed, d.Incarnation = false, true, g.started
 		d.isPrimary = d == g.primary
 	case kind == "expire" && d.isDown:
--- a/internal/core/replica/record.go
+++ b/internal/core/replica/record.go
@@ -22,6 +22,32 @@
 	// those of the other databases, queried after that.
 	PrimaryEnd model.Position
 	Answers    []Answer
+	// Gone holds the databases that were gone at earlier observations (see Record.Gone).
+	Gone Gone
+}
+
+// Gone holds the recorded databases that have no entry and do not answer, each with the end
+// of the primary's log when that was found first. They hold nothing after that end.
+type Gone map[model.DatabaseID]model.Position
+
+// Gone returns the databases that are gone as of an observation. The end of the log moves on
+// while callers write, so that no replica would ever reach its present end: that of the first
+// observation is kept.
+func (r Record) Gone(o Observation) Gone {
+	gone := Gone{}
+	for _, c := range r.Copies {
+		_, listed := findCopy(o.Listed, c.ID)
+		_, answers := find(o.Answers, c.ID)
+		if listed || answers || c.ID == o.Primary {
+			continue
+		}
+		if end, known := o.Gone[c.ID]; known {
+			gone[c.ID] = end
+		} else if !o.PrimaryEnd.IsZero() {
+			gone[c.ID] = o.PrimaryEnd
+		}
+	}
+	return gone
 }
 
 // NeedsAnswers reports whether an update by these entries depends on the answers of the
@@ -36,11 +62,12 @@
 // Observe returns the record with what an observation shows, and whether it differs.
 // New databases are added at once. A database that has restarted must reach the present
 // end of the primary's log before its log proves anything. A database that is gone is
-// removed once another replica has reached that end.
+// removed once another replica has reached the end of that time.
 func (r Record) Observe(o Observation) (Record, bool) {
 	var updated Record
+	gone := r.Gone(o)
 	for _, c := range r.Copies {
-		if current, keep := o.update(c); keep {
+		if current, keep := o.update(c, gone); keep {
 			updated.Copies = append(updated.Copies, current)
 		}
 	}
@@ -56,7 +83,7 @@
 
 // update returns the present state of a recorded database, and whether it stays in the
 // record.
-func (o Observation) update(c Copy) (Copy, bool) {
+func (o Observation) update(c Copy, gone Gone) (Copy, bool) {
 	current, listed := findCopy(o.Listed, c.ID)
 	switch {
 	case listed && current.Incarnation == c.Incarnation:
@@ -67,19 +94,18 @@
 	case listed && c.ID == o.Primary && o.isComplete():
 		return current, true
 	case !listed && c.ID != o.Primary:
-		return c, !o.isReplaced(c)
+		return c, !o.isReplaced(c, gone)
 	}
 	return c, true
 }
 
 // isReplaced reports whether a database without an entry is not needed any more: it does
-// not answer either, and another replica has reached the end of the primary's log.
-func (o Observation) isReplaced(c Copy) bool {
-	if _, answers := find(o.Answers, c.ID); answers || o.PrimaryEnd.IsZero() {
-		return false
-	}
-	return slices.ContainsFunc(o.Answers, func(a Answer) bool {
-		return a.ID != o.Primary && !a.Position.Less(o.PrimaryEnd)
+// not answer either, and another replica has reached the end of the primary's log at the time
+// when it was found to be gone.
+func (o Observation) isReplaced(c Copy, gone Gone) bool {
+	end, isGone := gone[c.ID]
+	return isGone && slices.ContainsFunc(o.Answers, func(a Answer) bool {
+		return a.ID != o.Primary && !a.Position.Less(end)
 	})
 }
 
--- a/internal/core/replica/record_test.go
+++ b/internal/core/replica/record_test.go
@@ -25,6 +25,9 @@
 	}{
 		{"nothing is known of the primary", Observation{Primary: "p", Listed: listed}, "abp"},
 		{"no other replica has caught up", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 20), Answers: []Answer{answer("a", 19)}}, "abp"},
+		{"another replica has reached the end of the first observation", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 30), Answers: []Answer{answer("a", 20)}, Gone: Gone{"b": position(2, 20)}}, "ap"},
+		{"no other replica has reached it", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 30), Answers: []Answer{answer("a", 19)}, Gone: Gone{"b": position(2, 20)}}, "abp"},
+		{"it answers again", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 30), Answers: []Answer{answer("a", 20), answer("b", 20)}, Gone: Gone{"b": position(2, 20)}}, "abp"},
 		{"another replica has caught up", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 20), Answers: []Answer{answer("a", 20)}}, "ap"},
 		{"it has no entry and answers", Observation{Primary: "p", Listed: listed, PrimaryEnd: position(2, 20), Answers: []Answer{answer("a", 20), answer("b", 20)}}, "abp"},
 		{"the primary has no entry", Observation{Primary: "p", Listed: record.Copies[:2], PrimaryEnd: position(2, 20), Answers: []Answer{answer("a", 20)}}, "abp"},
@@ -44,3 +47,24 @@
 		t.Errorf("a database has restarted: %s", diff)
 	}
 }
+
+// Guards against a lost database that stays in the record for ever under steady writes: the
+// replicas lag, and none ever has the present end of the primary's log.
+func TestLostDatabaseLeavesRecordUnderWrites(t *testing.T) {
+	record := Record{Copies: []Copy{{ID: "a", Incarnation: 1}, {ID: "b", Incarnation: 1}, {ID: "p", Incarnation: 1}}}
+	listed := []Copy{{ID: "a", Incarnation: 1}, {ID: "p", Incarnation: 1}}
+	gone := Gone{}
+	var got []int
+	for second := range 4 {
+		end := 100 + 30*second
+		o := Observation{
+			Primary: "p", Listed: listed, PrimaryEnd: position(2, end), Answers: []Answer{answer("a", end-5)}, Gone: gone,
+		}
+		gone = record.Gone(o)
+		record, _ = record.Observe(o)
+		got = append(got, len(record.Copies))
+	}
+	if diff := cmp.Diff([]int{3, 2, 2, 2}, got); diff != "" {
+		t.Errorf("databases in the record: %s", diff)
+	}
+}
--- a/internal/node/replica/replica.go
+++ b/internal/node/replica/replica.go
@@ -44,6 +44,9 @@
 	// queryInterval is the minimum time between two queries of databases for the record
 	// of a group.
 	queryInterval = time.Second
+	// maxObservationGap is the time between two observations of a group within which a
+	// database can't have had an entry unseen.
+	maxObservationGap = 2 * time.Second
 )
 
 // Source is what an instance knows about databases.
@@ -81,6 +84,15 @@
 	// databases of a group were last queried for its record.
 	known     map[model.GroupID]stored
 	queriedAt map[model.GroupID]time.Time
+	// gone holds what the last observation of each group has shown to be gone.
+	gone map[model.GroupID]goneAt
+}
+
+// goneAt holds the databases that are gone as of an observation.
+type goneAt struct {
+	gone    replica.Gone
+	primary model.DatabaseID
+	at      time.Time
 }
 
 // stored is what the store holds about a group.
@@ -101,7 +113,10 @@
 
 // NewKeeper returns a Keeper that knows no record yet.
 func NewKeeper(options Options) *Keeper {
-	return &Keeper{options: options, known: map[model.GroupID]stored{}, queriedAt: map[model.GroupID]time.Time{}}
+	return &Keeper{
+		options: options, known: map[model.GroupID]stored{}, queriedAt: map[model.GroupID]time.Time{},
+		gone: map[model.GroupID]goneAt{},
+	}
 }
 
 // HistoryRow returns the row with the promotions of a group.
@@ -197,6 +212,7 @@
 	if known.record.NeedsAnswers(o.Listed) && k.isQueryDue(group) {
 		o.PrimaryEnd, o.Answers = k.query(ctx, group, known.record, primary)
 	}
+	o.Gone = k.updateGone(group, known.record, o)
 	updated, changed := known.record.Observe(o)
 	if !changed {
 		return
@@ -226,6 +242,21 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	clear(k.known)
+	clear(k.gone)
+}
+
+// updateGone returns the databases of a group that were gone before an observation, and
+// remembers those that are gone now. After a gap between observations it starts anew, since a
+// database may have come back and gone again.
+func (k *Keeper) updateGone(group model.GroupID, record replica.Record, o replica.Observation) replica.Gone {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := clock.Now()
+	if last := k.gone[group]; last.primary == o.Primary && now.Sub(last.at) < maxObservationGap {
+		o.Gone = last.gone
+	}
+	k.gone[group] = goneAt{gone: record.Gone(o), primary: o.Primary, at: now}
+	return o.Gone
 }
 
 // knownRecord returns the record as it was read or written last, or reads it.
