Recognize a returned primary by its term

What callers saw: with synchronous replication, a crashed primary that was back with its whole log under another ID did not serve while another database was lost: the group waited 30 s and then counted commits as missing that the primary had.

Cause: the log of the old primary proves everything, but the primary was known by its ID only.

Evidence: TestAcknowledgedCommitsSurviveFailover/the_old_primary_comes_back_under_another_id failed before: "acknowledged commits after 1:2 may be missing".

Change: a database that leads the term of the primary to replace is that primary. It is recorded without a call, as no promotion may take effect, and without a new base in the history: a base at its present end would exclude the replicas that lag.

--- a/internal/core/replica/decide.go
+++ b/internal/core/replica/decide.go
@@ -117,13 +117,13 @@
 	return newest.ID, isOther && promotion.IsTakenOver(newest.Term, c.Term, newest.Position)
 }
 
-// wholePrimary returns the primary to replace, or the database that its log was
-// transferred to, if it answers and the log is whole: one that is lost in a restart is
+// wholePrimary returns the primary to replace, under whichever ID, or the database that its
+// log was transferred to, if it answers and the log is whole: one that is lost in a restart is
 // shorter than those of the replicas.
 func (c Change) wholePrimary() (Answer, bool) {
 	copied, recorded := findCopy(c.Copies, c.Primary)
 	i := slices.IndexFunc(c.Answers, func(a Answer) bool {
-		return a.ID == c.Primary && !recorded || recorded && a.holds(copied)
+		return a.ID == c.Primary && !recorded || recorded && a.holds(copied) || c.isReturned(a)
 	})
 	if i < 0 || c.Answers[i].Position.Less(c.Base) {
 		return Answer{}, false
@@ -137,6 +137,12 @@
 	return whole, true
 }
 
+// isReturned reports whether a database is the primary to replace, back under another ID: only
+// that leads its term.
+func (c Change) isReturned(a Answer) bool {
+	return a.ID != c.Primary && a.IsPrimary && a.Term >= c.Term
+}
+
 // follow decides about a change whose old primary answers: another database has to hold
 // all that the primary has.
 func (c Change) follow(primary Answer) Decision {
--- a/internal/core/replica/decide_test.go
+++ b/internal/core/replica/decide_test.go
@@ -63,6 +63,8 @@
 func overdue(c Change) Change { c.IsOverdue = true; return c }
 func lost(c Change) Change    { c.IsLost = true; return c }
 
+func unresumable(c Change) Change { c.CanResume = false; return c }
+
 // Guards against a promotion that loses acknowledged commits, for each of the ways to it
 // that one state of a group shows.
 func TestDecide(t *testing.T) {
@@ -82,6 +84,13 @@
 		c.Term, c.Base = 0, model.Position{}
 		return c
 	}
+	// p has been promoted to term 3 from the end 2:10 and has no commits since.
+	fresh := func(answers ...Answer) Change {
+		c := changeOf(answers...)
+		c.Term = 3
+		return c
+	}
+	next := func(a *Answer) { a.Term = 3 }
 	returned := func(a *Answer) { a.ID, a.IsPrimary = "q", true }
 	var lines []string
 	for _, c := range []struct {
@@ -121,6 +130,18 @@
 		{"another was promoted already", changeOf(answer("a", 20, promoted), answer("b", 25))},
 		{"another was promoted already, the primary answers", changeOf(answer("p", 30, leads), answer("a", 20, promoted))},
 		{"the primary is back under another ID", changeOf(answer("p", 20, returned), answer("a", 15), answer("b", 14))},
+		{"the primary is back under another ID, a replica is lost", changeOf(answer("p", 20, returned), answer("a", 15))},
+		{"the primary is back under another ID, a replica has caught up", changeOf(answer("p", 20, returned), answer("a", 20))},
+		{"the primary is back under another ID and leaves, a replica has caught up", changeOf(answer("p", 20, returned, leaving), answer("a", 20))},
+		{"the primary is back under another ID without its log", changeOf(answer("p", 0, returned), answer("a", 20))},
+		{"the primary is back under another ID, behind a replica", changeOf(answer("p", 15, returned), answer("a", 20))},
+		{"the primary is back under another ID, calls are not known", unresumable(changeOf(answer("p", 20, returned), answer("a", 15)))},
+		{"the primary has less than the base, a replica does not answer", changeOf(answer("p", 9, leads), answer("b", 8))},
+		{"the primary has less than a replica, another does not answer", changeOf(answer("p", 15, leads), answer("b", 20))},
+		{"a replica of an earlier term is longer than the primary's", changeOf(answer("p", 20, leads), answer("a", 20), answer("b", 30, behind))},
+		{"the term is not known, logs of two terms", first(answer("a", 12), answer("b", 30, behind))},
+		{"a log that was rolled back by the last promotion is longer", fresh(answer("a", 30), answer("b", 10, next))},
+		{"a primary of an earlier term has not stepped down", fresh(answer("q", 30, leads), answer("b", 10, next))},
 		{"the first primary is back under another ID", first(answer("p", 20, returned), answer("a", 15))},
 		{"the first primary is back, another was promoted already", first(answer("p", 20, returned), answer("a", 15, promoted), answer("b", 14))},
 	} {
--- a/internal/core/replica/model_test.go
+++ b/internal/core/replica/model_test.go
@@ -193,7 +193,7 @@
 // Guards against a promotion that loses an acknowledged commit after any sequence of
 // crashes, expired entries, lags and drains, whichever databases answer.
 func TestNoAcknowledgedCommitIsLost(t *testing.T) {
-	kinds := []string{"crash", "return", "expire", "stop receiving", "receive", "drain"}
+	kinds := []string{"crash", "return", "return under another ID", "expire", "stop receiving", "receive", "drain"}
 	rapid.Check(t, func(t *rapid.T) {
 		g := newModelGroup(rapid.IntRange(3, 4).Draw(t, "size"))
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/node/fleet/coordinator_failover.go
+++ b/internal/node/fleet/coordinator_failover.go
@@ -54,9 +54,12 @@
 	record.Primary, record.Term, record.Position = chosen.database.ID, chosen.status.Term,
 		chosen.status.ReceivedPosition.String()
 	record.PromotedAt = time.Now()
-	rows := append(chosen.copies, replica.CallsRow(name, chosen.calls), replica.HistoryRow(name, chosen.history.Add(succession.Promotion{
-		Term: chosen.status.Term, Base: chosen.status.ReceivedPosition,
-	})))
+	rows := append(chosen.copies, replica.CallsRow(name, chosen.calls))
+	if !chosen.isReturned {
+		rows = append(rows, replica.HistoryRow(name, chosen.history.Add(succession.Promotion{
+			Term: chosen.status.Term, Base: chosen.status.ReceivedPosition,
+		})))
+	}
 	for ctx.Err() == nil && !f.recordNewPrimary(ctx, name, claimed, newRow, record, rows) {
 		sleep(ctx, failoverPollInterval)
 	}
@@ -233,9 +236,9 @@
 // successor is the database that becomes the new primary.
 type successor struct {
 	databaseStatus
-	// isPrimary is set if an unfinished failover has promoted the database
-	// already.
-	isPrimary bool
+	// isPrimary is set if the database need not be promoted: an unfinished failover has
+	// done that already, or it is the old primary under another ID (isReturned).
+	isPrimary, isReturned bool
 	// attempt calls the promotion. calls are the promotions that may still take effect once
 	// the database leads.
 	attempt *promoter.Attempt
--- a/internal/node/fleet/coordinator_successor.go
+++ b/internal/node/fleet/coordinator_successor.go
@@ -106,7 +106,7 @@
 				id, statuses[i].status.ReceivedPosition, s.row.Term, f.replicas.Patience()))
 		}
 		chosen := s.successor(statuses[i])
-		chosen.isPrimary = s.isPresentPrimary(chosen.status)
+		chosen.isPrimary, chosen.isReturned = s.isPresentPrimary(chosen.status)
 		return chosen, searchFound
 	case isOverdue:
 		return successor{}, searchFailed
@@ -116,11 +116,14 @@
 }
 
 // isPresentPrimary reports whether a database that is chosen need not be promoted, as it is
-// the primary already: as no promotion may take effect that is not known, it is the old
-// primary under another ID, or the result of a promotion.
-func (c *change) isPresentPrimary(status statement.ServerStatus) bool {
-	isPrimary := status.Role == model.RolePrimary
-	return isPrimary && (!c.promotions.Calls.IsIncomplete && status.Term >= c.row.Term || c.isTakenOver(status))
+// the primary already, and whether it is the old one under another ID. That takes that no
+// promotion may take effect that is not known.
+func (c *change) isPresentPrimary(status statement.ServerStatus) (isPrimary, isReturned bool) {
+	if c.isTakenOver(status) {
+		return true, false
+	}
+	isReturned = status.Role == model.RolePrimary && status.Term >= c.row.Term && !c.promotions.Calls.IsIncomplete
+	return isReturned, isReturned
 }
 
 // isTakenOver reports whether a database has become the primary after the one to replace.
--- a/internal/node/fleet/coordinator_synchronous.go
+++ b/internal/node/fleet/coordinator_synchronous.go
@@ -172,7 +172,9 @@
 				event.F("received", a.Position.String()), event.F("outcome", outcome(err)))
 		}
 	}
-	chosen.isPrimary = decision.Database != row.Primary && c.isPresentPrimary(chosen.status)
+	if decision.Database != row.Primary {
+		chosen.isPrimary, chosen.isReturned = c.isPresentPrimary(chosen.status)
+	}
 	end := chosen.status.ReceivedPosition
 	chosen.history, chosen.copies = awaited.History, []store.Row{replica.RecordRow(name, awaited.Record)}
 	f.logEvent(event.SuccessorChosen, event.F("group", name), event.F("database", decision.Database),
