Give back the bytes of a broken relay link

What callers would see: a relay that refuses every statement as full, for good, once answers of 32 MiB were waiting on links that broke.

Cause: the writer takes all queued frames; after a failed write those not written yet were forgotten, and their bytes stayed counted.

Evidence: TestFramesOfBrokenLinkAreDropped gave back 1 of 5 frames before.

Change: frames that were taken and not written return to the queue, which the end of the link drops.

--- a/internal/edge/relay/outbox.go
+++ b/internal/edge/relay/outbox.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,13 @@
 	return queued
 }
 
+// putBack queues frames again that were taken and not written.
+func (b *outbox) putBack(frames []*outgoing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queued = append(slices.Clone(frames), b.queued...)
+}
+
 // release stops counting a frame that was taken.
 func (b *outbox) release(frame *outgoing) {
 	b.mu.Lock()
@@ -79,7 +87,8 @@
 // whose error it returns.
 func (b *outbox) write(channel *peer.Channel, closed <-chan struct{}) error {
 	for {
-		for _, frame := range b.take() {
+		taken := b.take()
+		for i, frame := range taken {
 			if !frame.claim() {
 				b.release(frame)
 				continue
@@ -90,6 +99,7 @@
 				frame.written()
 			}
 			if err != nil {
+				b.putBack(taken[i+1:])
 				return err
 			}
 		}
