Log why a promotion is abandoned, and keep its earlier call

A database whose promotion was abandoned and that is called again may still lead by the earlier call: a refusal of the new one no longer clears the record.

The log now says when a failover goes on without a called database, and whether the platform called it stopped or how long it was silent.

--- a/internal/node/promotion/promotion.go
+++ b/internal/node/promotion/promotion.go
@@ -138,7 +138,9 @@
 	if err := a.record(ctx, a.recorded.With(call)); err != nil {
 		return nil, err
 	}
-	a.progress[call.Database] = &progress{presentAt: clock.Now()}
+	// An earlier call of the database that was abandoned may still take effect.
+	_, wasCalled := a.progress[call.Database]
+	a.progress[call.Database] = &progress{mayTakeEffect: wasCalled, presentAt: clock.Now()}
 	a.call(ctx, call)
 	return a.Settle(ctx)
 }
@@ -177,11 +179,19 @@
 // attempt does not wait for the others again.
 func (a *Attempt) free(ctx context.Context, calls promotion.Calls) (promotion.Settlement, error) {
 	calls.IsIncomplete = a.recorded.IsIncomplete
-	if !slices.Equal(calls.Calls, a.recorded.Calls) {
-		if err := a.record(ctx, calls); err != nil {
-			return nil, err
+	if slices.Equal(calls.Calls, a.recorded.Calls) {
+		return promotion.Free{Calls: calls}, nil
+	}
+	for _, call := range calls.Calls {
+		if !slices.Contains(a.recorded.Calls, call) {
+			p := a.progress[call.Database]
+			a.options.Log(event.PromotionAbandoned, event.F("group", a.change.Group), event.F("database", call.Database),
+				event.F("stopped", p.isStopped), event.F("silent", clock.Since(p.presentAt).String()))
 		}
 	}
+	if err := a.record(ctx, calls); err != nil {
+		return nil, err
+	}
 	return promotion.Free{Calls: calls}, nil
 }
 
--- a/internal/report/event/event_coordinator.go
+++ b/internal/report/event/event_coordinator.go
@@ -106,10 +106,16 @@
 			"taken over if one of them leads, settled if none can lead any more.",
 		Fields: []string{"group", "databases", "result"},
 	}
+	PromotionAbandoned = Event{
+		Number: 439, Name: "promotion-abandoned", Level: LevelWarn,
+		Text: "A failover goes on without a database whose promotion was called: the platform says that it is not running, " +
+			"or it has had no entry and given no answer for some time. Its promotion may still take effect.",
+		Fields: []string{"group", "database", "stopped", "silent"},
+	}
 )
 
 var coordinatorEvents = []Event{
 	GroupRowSeen, GroupRowWritten, ChangeBegun, ChangeFailed, ChangeEnded, PrimarySteppedDown, PromotionCalled, DatabaseAsked,
 	CoordinatorLeaseWritten, LeasesRevoked, GroupSurveyed, SuccessorAwaited, SuccessorChosen, ChangeAbandoned, ChangePostponed,
-	ReplicaRecordWritten, PromotionsRecorded, PromotionAwaited, GuardChecked,
+	ReplicaRecordWritten, PromotionsRecorded, PromotionAwaited, GuardChecked, PromotionAbandoned,
 }
