Wait before a second turn as holder of the coordinator lease

What callers saw: nothing.

Change: a call under another token than the last one of this instance is refused within 3.3 s of that one; the failover waits for the recorded database meanwhile. TestHolderDoesNotTakeTurns fails without it.

--- a/internal/node/fleet/coordinator_promotion.go
+++ b/internal/node/fleet/coordinator_promotion.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/eelgrassfold/eelgrassfold/internal/core/clock"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
@@ -132,6 +134,38 @@
 	return core.Copy{ID: call.Database, Incarnation: call.Incarnation, Address: call.Address}
 }
 
+// turnInterval is the time between the last promotion call of a holder of the coordinator lease
+// and its first after another holder: two instances must not take turns while each of them loses
+// the lease again and again.
+const turnInterval = 3300 * time.Millisecond
+
+// lastCall is the last promotion call of this instance. It is safe for concurrent use.
+type lastCall struct {
+	mu    sync.Mutex
+	token uint64
+	at    time.Time
+}
+
+// next records a call under a fencing token, and reports whether it may be made.
+func (l *lastCall) next(token uint64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if token != l.token && !l.at.IsZero() && now.Sub(l.at) < turnInterval {
+		return false
+	}
+	l.token, l.at = token, now
+	return true
+}
+
+// HolderChangedError reports that another instance has held the coordinator lease since this
+// one called a promotion, a moment ago.
+type HolderChangedError struct{}
+
+// Error implements error.
+func (*HolderChangedError) Error() string {
+	return "another instance has held the coordinator lease since the last call"
+}
+
 // promotionSource implements promotion.Source.
 type promotionSource struct{ fleet *Fleet }
 
@@ -173,6 +207,9 @@
 	if view.CoordinatorLease.Holder != f.options.StartID {
 		return &store.Error{Outcome: store.OutcomeRefused, Cause: &CoordinatorReplacedError{Holder: view.CoordinatorLease.Holder}}
 	}
+	if !f.lastCall.next(view.CoordinatorLease.FencingToken, clock.Now()) {
+		return &store.Error{Outcome: store.OutcomeRefused, Cause: &HolderChangedError{}}
+	}
 	remaining := view.ReadStartedAt.Add(lease.Duration).Sub(clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, min(remaining, promoteTimeout))
 	defer cancel()
--- a/internal/node/fleet/coordinator_test.go
+++ b/internal/node/fleet/coordinator_test.go
@@ -13,6 +13,7 @@
 	"github.com/eelgrassfold/eelgrassfold/internal/core/lease"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/message"
 	"github.com/eelgrassfold/eelgrassfold/internal/core/model"
+	"github.com/eelgrassfold/eelgrassfold/internal/edge/store"
 )
 
 // A holder of the coordinator lease that does not reach the store can't
@@ -151,3 +152,26 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against two instances that take turns: each loses the coordinator lease to the other
+// while the store is slow, takes it back, and calls a promotion at once.
+func TestHolderDoesNotTakeTurns(t *testing.T) {
+	f := newUnstartedFleet(1, 1)
+	f.options.Promoter = acceptingPromoter{}
+	rows := f.options.Store.(*memoryStore)
+	call := func(token uint64) bool {
+		rows.put(groupTable, coordinatorLeaseKey, string(f.encode(&lease.CoordinatorLease{Holder: f.options.StartID, FencingToken: token})))
+		return promotionSource{f}.Promote(t.Context(), "ratings", "a") == nil
+	}
+	got := []bool{call(2), call(2), call(4), call(4)}
+	f.lastCall.at = f.lastCall.at.Add(-turnInterval)
+	got = append(got, call(4), call(4), call(6))
+	if diff := cmp.Diff([]bool{true, true, false, false, true, true, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// acceptingPromoter implements store.Promoter.
+type acceptingPromoter struct{}
+
+func (acceptingPromoter) Promote(context.Context, store.Promotion) error { return nil }
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -157,6 +157,7 @@
 	relays       relays
 	replicas     *replica.Keeper
 	promotions   *promotion.Caller
+	lastCall     lastCall
 	leaving      atomic.Bool
 	// storeReachable is set if the store has answered the last call about the table of
 	// groups.
